Set down the folders, the core types and the decisions

Blackboard of section records, events, effects, one controller a section and the stepper. Homes of team budgets and of cells share one roster.

--- /dev/null
+++ b/src/main/java/org/lacewingstep/blackboard/Effect.java
@@ -0,0 +1,79 @@
+package org.lacewingstep.blackboard;
+
+import java.time.Instant;
+
+import org.lacewingstep.domain.AttemptIdentifier;
+import org.lacewingstep.domain.Member;
+import org.lacewingstep.domain.RequestIdentifier;
+import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.Upstream;
+
+/** Something that an adapter has to do for the controllers. */
+public sealed interface Effect {
+    /**
+     * Start a timer, in place of one with the same key.
+     *
+     * @param key what it is for, not null
+     * @param due when it runs out, not null
+     */
+    record StartTimer(TimerKey key, Instant due) implements Effect {}
+
+    /**
+     * Tell the traffic side what to do for a request.
+     *
+     * @param request the request, not null
+     * @param instruction what to do, not null
+     */
+    record Instruct(RequestIdentifier request, Instruction instruction) implements Effect {}
+
+    /**
+     * Send a message to a member.
+     *
+     * @param receiver the member, not null
+     * @param message the message, not null
+     */
+    record SendToPeer(Member receiver, PeerMessage message) implements Effect {}
+
+    /**
+     * Read the configuration from the store if it is newer.
+     *
+     * @param generation the generation in force
+     */
+    record ReadConfiguration(long generation) implements Effect {}
+
+    /** Read the roster, the leases and the platform's list. */
+    record ReadPlatform() implements Effect {}
+
+    /**
+     * Renew the lease in the store.
+     *
+     * @param leaseIdentifier the lease, zero to ask for a new one
+     */
+    record RenewLease(long leaseIdentifier) implements Effect {}
+
+    /**
+     * Write the roster by compare-and-swap.
+     *
+     * @param roster the roster, not null
+     * @param expectedRevision the revision that must be in the store, zero for none
+     */
+    record WriteRoster(Roster roster, long expectedRevision) implements Effect {}
+
+    /**
+     * Ask an upstream for its load.
+     *
+     * @param upstream the upstream, not null
+     */
+    record FetchLoad(Upstream upstream) implements Effect {}
+
+    /**
+     * Cancel an attempt at an upstream.
+     *
+     * @param upstream the upstream, not null
+     * @param attempt the attempt, not null
+     */
+    record CancelAttempt(Upstream upstream, AttemptIdentifier attempt) implements Effect {}
+
+    /** End the process. */
+    record StopProcess() implements Effect {}
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/command/package-info.java
@@ -0,0 +1,2 @@
+/** Command line. */
+package org.lacewingstep.command;
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/Admission.java
@@ -0,0 +1,146 @@
+package org.lacewingstep.controller;
+
+import java.time.Instant;
+import java.util.Optional;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.LifecycleSection.Stage;
+import org.lacewingstep.blackboard.Refusal;
+import org.lacewingstep.blackboard.RequestDemand;
+import org.lacewingstep.domain.Access;
+import org.lacewingstep.domain.Service;
+import org.lacewingstep.domain.ServiceKind;
+import org.lacewingstep.domain.Team;
+import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.error.ErrorCode;
+
+/** Decides by the configuration in force whether a request may be accepted, before any budget is asked. */
+final class Admission {
+    private Admission() {}
+
+    /**
+     * Checks a request.
+     *
+     * @param board the blackboard, not null
+     * @param demand the request, not null
+     * @param now the present time, not null
+     * @return the verdict, never null
+     */
+    static Verdict check(final Blackboard board, final RequestDemand demand, final Instant now) {
+        final Optional<Refusal> closed = closed(board);
+        if (closed.isPresent()) {
+            return new Verdict.Refused(closed.get());
+        }
+        final Optional<Service> service = board.configuration().inForce().find(demand.selector());
+        if (service.isEmpty()) {
+            return refused(ErrorCode.SERVICE_UNKNOWN, "no service answers to this model or path");
+        }
+        final Optional<Team> team = demand.key().flatMap(board.configuration().inForce()::teamOf);
+        final Optional<Refusal> forbidden = forbidden(board, service.get(), team, now);
+        if (forbidden.isPresent()) {
+            return new Verdict.Refused(forbidden.get());
+        }
+        return checkTokens(board, demand, service.get(), team);
+    }
+
+    private static Optional<Refusal> closed(final Blackboard board) {
+        if (board.configuration().inForce().generation() == 0) {
+            return Optional.of(Refusal.of(ErrorCode.NOT_READY, "no configuration is in force yet"));
+        }
+        if (board.lifecycle().stage() instanceof Stage.Leaving
+                || board.lifecycle().stage() instanceof Stage.Stopped) {
+            return Optional.of(Refusal.of(ErrorCode.INSTANCE_DRAINING, "this instance is stopping"));
+        }
+        if (board.requests().requests().size() >= board.identity().policy().requestsLimit()) {
+            return Optional.of(Refusal.of(ErrorCode.NO_CAPACITY, "this instance works on too many requests"));
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Checks whether a team may use a service now; asked again whenever a request is dispatched.
+     *
+     * @param board the blackboard, not null
+     * @param service the service, not null
+     * @param team the team of the key, empty if none is granted
+     * @param now the present time, not null
+     * @return the reason if it may not, empty otherwise
+     */
+    static Optional<Refusal> forbidden(
+            final Blackboard board, final Service service, final Optional<Team> team, final Instant now) {
+        if (service.access() instanceof Access.OpenToAll) {
+            return Optional.empty();
+        }
+        if (isIsolated(board, now)) {
+            return Optional.of(
+                    Refusal.of(ErrorCode.NOT_READY, "this instance is cut off and cannot tell which keys are granted"));
+        }
+        if (team.isEmpty()) {
+            return Optional.of(Refusal.of(ErrorCode.KEY_UNKNOWN, "the key is missing or not granted"));
+        }
+        if (!service.access().permits(team.get().name())) {
+            return Optional.of(Refusal.of(ErrorCode.ROUTE_FORBIDDEN, "the key's team may not use this service"));
+        }
+        return Optional.empty();
+    }
+
+    /** Cut off from the store, the list and every peer alike, so that a withdrawal could not be heard of. */
+    private static boolean isIsolated(final Blackboard board, final Instant now) {
+        final Instant limit = now.minus(board.identity().policy().isolationLimit());
+        final boolean confirmed =
+                board.configuration().confirmedAt().filter(limit::isBefore).isPresent();
+        final boolean vouched = board.membership().standing().isVouched(now);
+        final boolean peers = board.membership().others(board.identity().incarnation()).stream()
+                .anyMatch(member -> board.membership()
+                        .peerView()
+                        .isHeard(member.incarnation(), board.identity().policy().isolationLimit(), now));
+        return !confirmed && !vouched && !peers;
+    }
+
+    private static Verdict checkTokens(
+            final Blackboard board, final RequestDemand demand, final Service service, final Optional<Team> team) {
+        final long tokens =
+                switch (service.kind()) {
+                    case ServiceKind.Model model -> demand.totalTokens();
+                    case ServiceKind.Plain plain -> plain.tokensPerCall();
+                };
+        final boolean model = service.kind() instanceof ServiceKind.Model;
+        if (model && (demand.outputTokens() <= 0 || demand.promptTokens() <= 0)) {
+            return refused(ErrorCode.TOKENS_INVALID, "a prompt and at least one output token are needed");
+        }
+        if (tokens > board.identity().policy().maximumTokens()) {
+            return refused(ErrorCode.TOKENS_INVALID, "prompt and output exceed the largest request allowed");
+        }
+        final boolean neverAdmitted = team.isPresent()
+                && tokens
+                        > BudgetShare.largestRequest(
+                                team.get(), board.identity().policy());
+        if (neverAdmitted) {
+            return refused(ErrorCode.TOKENS_INVALID, "prompt and output exceed the team's burst");
+        }
+        return new Verdict.Accepted(service, team.map(Team::name), tokens);
+    }
+
+    private static Verdict refused(final ErrorCode code, final String message) {
+        return new Verdict.Refused(Refusal.of(code, message));
+    }
+
+    /** Whether a request is accepted. */
+    sealed interface Verdict {
+        /**
+         * Accepted.
+         *
+         * @param service the service, not null
+         * @param payer the team that pays, empty on routes open to all without a key
+         * @param tokens the tokens to be debited
+         */
+        record Accepted(Service service, Optional<TeamName> payer, long tokens) implements Verdict {}
+
+        /**
+         * Refused and not run.
+         *
+         * @param refusal the reason, not null
+         */
+        record Refused(Refusal refusal) implements Verdict {}
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/AttemptOutcome.java
@@ -0,0 +1,124 @@
+package org.lacewingstep.controller;
+
+import java.time.Instant;
+import java.util.Optional;
+
+import org.lacewingstep.blackboard.AttemptResult;
+import org.lacewingstep.blackboard.AttemptResult.AttemptStep;
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Instruction;
+import org.lacewingstep.blackboard.Refusal;
+import org.lacewingstep.blackboard.RequestSection;
+import org.lacewingstep.blackboard.RequestSection.Phase;
+import org.lacewingstep.blackboard.RequestSection.Progress;
+import org.lacewingstep.blackboard.RequestSection.RequestState;
+import org.lacewingstep.domain.AttemptIdentifier;
+import org.lacewingstep.domain.Reservation;
+import org.lacewingstep.domain.Service;
+import org.lacewingstep.domain.ServiceKind;
+import org.lacewingstep.error.ErrorCode;
+
+/** Decides what follows when an attempt has ended: an answer, a resumed stream, another attempt or an error. */
+final class AttemptOutcome {
+    /** How often a stream is resumed at the same upstream before another one continues it. */
+    private static final int RESUME_LIMIT = 1;
+
+    private AttemptOutcome() {}
+
+    /**
+     * Acts on the end of an attempt; ends of attempts that are not the current one are ignored.
+     *
+     * @param board the blackboard, not null
+     * @param attempt the attempt, not null
+     * @param result how it ended, not null
+     * @param draft collects what follows, not null
+     * @param now the present time, not null
+     * @return the requests afterwards, never null
+     */
+    static RequestSection apply(
+            final Blackboard board,
+            final AttemptIdentifier attempt,
+            final AttemptResult result,
+            final Draft draft,
+            final Instant now) {
+        final RequestState state = board.requests().requests().get(attempt.request());
+        if (state == null
+                || !(state.phase() instanceof Phase.Running(Reservation held))
+                || !held.attempt().equals(attempt)) {
+            return board.requests();
+        }
+        return switch (result) {
+            case AttemptResult.Completed(long outputTokens) -> complete(board, state, held, outputTokens, draft);
+            case AttemptResult.Failed failed -> fail(board, state, held, failed, draft, now);
+        };
+    }
+
+    private static RequestSection complete(
+            final Blackboard board,
+            final RequestState state,
+            final Reservation held,
+            final long outputTokens,
+            final Draft draft) {
+        RequestEnding.release(board, state, held.cell(), Optional.empty(), true, draft);
+        RequestEnding.refund(state, outputTokens, true, draft);
+        draft.add(new Effect.Instruct(state.demand().request(), new Instruction.Conclude()));
+        return board.requests().without(state.demand().request());
+    }
+
+    private static RequestSection fail(
+            final Blackboard board,
+            final RequestState state,
+            final Reservation held,
+            final AttemptResult.Failed failed,
+            final Draft draft,
+            final Instant now) {
+        final RequestState received = state.received(failed.outputTokens(), failed.sent());
+        if (mayResume(received, failed)) {
+            draft.add(new Effect.Instruct(state.demand().request(), new Instruction.Resume(held)));
+            return board.requests().with(received.resumed());
+        }
+        RequestEnding.cancel(board, held, draft);
+        RequestEnding.release(board, state, held.cell(), Optional.of(failed.upstream()), false, draft);
+        if (!mayRepeat(board, received, failed) || board.requests().retryCredit() < 1) {
+            return giveUp(board, received, failed, draft);
+        }
+        final RequestSection charged =
+                new RequestSection(board.requests().requests(), board.requests().retryCredit() - 1);
+        return Placement.begin(board, charged, received.avoiding(failed.upstream()), draft, now);
+    }
+
+    private static boolean mayResume(final RequestState state, final AttemptResult.Failed failed) {
+        final Progress progress = state.progress();
+        return failed.step() == AttemptStep.DECODE
+                && !failed.overloaded()
+                && progress.outputTokens() > 0
+                && progress.resumes() < RESUME_LIMIT;
+    }
+
+    private static boolean mayRepeat(
+            final Blackboard board, final RequestState state, final AttemptResult.Failed failed) {
+        if (!failed.sent()) {
+            return true;
+        }
+        final Service service = board.configuration().inForce().services().get(state.service());
+        return service != null
+                && switch (service.kind()) {
+                    case ServiceKind.Model model -> true;
+                    case ServiceKind.Plain plain -> plain.repeatable();
+                };
+    }
+
+    private static RequestSection giveUp(
+            final Blackboard board, final RequestState state, final AttemptResult.Failed failed, final Draft draft) {
+        final String message = failed.step() + " failed at upstream " + failed.upstream();
+        return RequestEnding.refuse(
+                board.requests(),
+                state,
+                new Refusal(
+                        ErrorCode.UPSTREAM_FAILED,
+                        message,
+                        RequestEnding.noCapacity().retryAfter()),
+                draft);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/CellController.java
@@ -0,0 +1,239 @@
+package org.lacewingstep.controller;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.CellSection;
+import org.lacewingstep.blackboard.CellSection.CellState;
+import org.lacewingstep.blackboard.CellSection.Held;
+import org.lacewingstep.blackboard.CellSection.ReportedReservations;
+import org.lacewingstep.blackboard.CellSection.WaitingPlacement;
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.Outcome;
+import org.lacewingstep.blackboard.PeerMessage;
+import org.lacewingstep.blackboard.PeerMessage.PlacementVerdict;
+import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.domain.AttemptIdentifier;
+import org.lacewingstep.domain.CellName;
+import org.lacewingstep.domain.Incarnation;
+import org.lacewingstep.domain.LoadReport;
+import org.lacewingstep.domain.Reservation;
+import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.Shard;
+import org.lacewingstep.domain.Upstream;
+import org.lacewingstep.domain.UpstreamName;
+import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PMap;
+
+/** Gives out the room of the cells that have their home here. */
+public final class CellController implements Controller<CellSection> {
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
+
+    @Override
+    public Class<CellSection> section() {
+        return CellSection.class;
+    }
+
+    @Override
+    public Outcome<CellSection> step(final Blackboard board, final Event event, final Instant now) {
+        return switch (event) {
+            case Event.Started() -> check(board, now);
+            case Event.TimerFired(TimerKey.CellCheck()) -> check(board, now);
+            case Event.RosterAdopted(Roster previous) -> Outcome.of(keepOwn(board));
+            case Event.RosterSettled(long epoch) -> Outcome.of(takeUp(board, now));
+            case Event.ConfigurationAdopted(long generation) -> Outcome.of(takeUp(board, now));
+            case Event.LoadReported(UpstreamName upstream, LoadReport report) -> reported(board, upstream, report, now);
+            case Event.PeerMessageReceived(Incarnation sender, PeerMessage message) ->
+                receive(board, sender, message, now);
+            default -> Outcome.of(board.cells());
+        };
+    }
+
+    private static Outcome<CellSection> receive(
+            final Blackboard board, final Incarnation sender, final PeerMessage message, final Instant now) {
+        return switch (message) {
+            case PeerMessage.PlacementAsk ask -> ask(board, sender, ask, now);
+            case PeerMessage.PlacementRelease release -> release(board, release, now);
+            case PeerMessage.EpochAcknowledged(long epoch, List<Reservation> reservations) ->
+                Outcome.of(store(board, sender, epoch, reservations));
+            case PeerMessage.ReservationStatus status -> Outcome.of(confirm(board, sender, status, now));
+            default -> Outcome.of(board.cells());
+        };
+    }
+
+    private static Outcome<CellSection> ask(
+            final Blackboard board, final Incarnation sender, final PeerMessage.PlacementAsk ask, final Instant now) {
+        final Draft draft = new Draft();
+        final CellState state = board.cells().cells().get(ask.cell());
+        if (state == null || !board.membership().mayAct(board.identity().incarnation(), now)) {
+            answer(board, sender, ask.attempt(), PlacementVerdict.NOT_HOME, draft);
+            return draft.outcome(board.cells());
+        }
+        if (state.reservations().containsKey(ask.attempt()) || isWaiting(state, ask.attempt())) {
+            return draft.outcome(board.cells());
+        }
+        if (state.waiting().size() >= board.identity().policy().queueLimit()
+                || !CellRoom.canEverFit(board, ask.cell(), ask.pieces())) {
+            answer(board, sender, ask.attempt(), PlacementVerdict.NO_ROOM, draft);
+            return draft.outcome(board.cells());
+        }
+        final WaitingPlacement waiting = new WaitingPlacement(
+                ask.attempt(),
+                sender,
+                ask.team(),
+                ask.tokens(),
+                ask.pieces(),
+                HashTreePSet.from(ask.avoided()),
+                now.plus(ask.patience()));
+        final CellState next = PlacementQueue.serve(board, ask.cell(), state.enqueue(waiting), draft, now);
+        if (isWaiting(next, ask.attempt())) {
+            answer(board, sender, ask.attempt(), PlacementVerdict.QUEUED, draft);
+        }
+        return draft.outcome(board.cells().with(ask.cell(), next));
+    }
+
+    private static boolean isWaiting(final CellState state, final AttemptIdentifier attempt) {
+        return state.waiting().stream().anyMatch(waiting -> waiting.attempt().equals(attempt));
+    }
+
+    private static Outcome<CellSection> release(
+            final Blackboard board, final PeerMessage.PlacementRelease release, final Instant now) {
+        final Draft draft = new Draft();
+        final CellState state = board.cells().cells().get(release.cell());
+        if (state == null) {
+            return draft.outcome(board.cells().withoutReported(release.attempt()));
+        }
+        final Held held = state.reservations().get(release.attempt());
+        if (held != null) {
+            noteServed(held.reservation(), release, draft);
+        }
+        final CellState ended =
+                release.completed() ? state.release(release.attempt(), now) : state.close(release.attempt(), now);
+        final CellState next = PlacementQueue.serve(board, release.cell(), ended, draft, now);
+        return draft.outcome(board.cells().with(release.cell(), next));
+    }
+
+    private static void noteServed(
+            final Reservation reservation, final PeerMessage.PlacementRelease release, final Draft draft) {
+        if (release.completed()) {
+            draft.add(new Event.UpstreamServed(reservation.target(), true));
+            reservation.prefill().ifPresent(prefill -> draft.add(new Event.UpstreamServed(prefill, true)));
+        }
+        release.blamed().ifPresent(blamed -> draft.add(new Event.UpstreamServed(blamed, false)));
+    }
+
+    private static CellSection store(
+            final Blackboard board, final Incarnation sender, final long epoch, final List<Reservation> reservations) {
+        final CellSection section = board.cells();
+        final ReportedReservations earlier = section.reported().get(sender);
+        if (epoch < board.membership().roster().epoch() || (earlier != null && earlier.epoch() > epoch)) {
+            return section;
+        }
+        return new CellSection(
+                section.cells(), section.reported().plus(sender, new ReportedReservations(epoch, reservations)));
+    }
+
+    private static CellSection confirm(
+            final Blackboard board,
+            final Incarnation sender,
+            final PeerMessage.ReservationStatus status,
+            final Instant now) {
+        CellSection section = board.cells();
+        for (final Map.Entry<CellName, CellState> entry : section.cells().entrySet()) {
+            CellState state = entry.getValue();
+            for (final AttemptIdentifier attempt : status.alive()) {
+                state = state.confirm(attempt, now);
+            }
+            for (final AttemptIdentifier attempt : status.ended()) {
+                final Held held = state.reservations().get(attempt);
+                final boolean owned = held != null && held.reservation().owner().equals(sender);
+                state = owned ? state.close(attempt, now) : state;
+            }
+            section = section.with(entry.getKey(), state);
+        }
+        return section;
+    }
+
+    private static CellSection keepOwn(final Blackboard board) {
+        final CellSection section = board.cells();
+        PMap<CellName, CellState> kept = section.cells();
+        for (final CellName cell : section.cells().keySet()) {
+            kept = isHere(board, cell) ? kept : kept.minus(cell);
+        }
+        return new CellSection(kept, section.reported());
+    }
+
+    /** All members have named what they hold, so the reservations known now are complete. */
+    private static CellSection takeUp(final Blackboard board, final Instant now) {
+        if (!board.membership().agreement().settled()) {
+            return board.cells();
+        }
+        PMap<CellName, CellState> cells = HashTreePMap.empty();
+        for (final CellName cell : board.configuration().inForce().cells()) {
+            if (isHere(board, cell)) {
+                final CellState held = board.cells().cells().get(cell);
+                cells = cells.plus(cell, held == null ? collect(board, cell, now) : held);
+            }
+        }
+        return new CellSection(cells, HashTreePMap.empty());
+    }
+
+    private static boolean isHere(final Blackboard board, final CellName cell) {
+        return board.membership()
+                .isHome(new Shard.CellShard(cell), board.identity().incarnation());
+    }
+
+    private static CellState collect(final Blackboard board, final CellName cell, final Instant now) {
+        CellState state = CellState.EMPTY;
+        for (final ReportedReservations report : board.cells().reported().values()) {
+            for (final Reservation reservation : report.reservations()) {
+                state = reservation.cell().equals(cell) ? state.hold(reservation, now) : state;
+            }
+        }
+        for (final Reservation reservation : RunningReservations.of(board.requests())) {
+            state = reservation.cell().equals(cell) ? state.hold(reservation, now) : state;
+        }
+        return state;
+    }
+
+    private static Outcome<CellSection> reported(
+            final Blackboard board, final UpstreamName name, final LoadReport report, final Instant now) {
+        final Draft draft = new Draft();
+        final Upstream upstream = board.configuration().inForce().upstreams().get(name);
+        final CellState state = upstream == null ? null : board.cells().cells().get(upstream.cell());
+        if (state == null) {
+            return draft.outcome(board.cells());
+        }
+        final CellState swept = OrphanSweep.sweep(board, state, upstream, report, draft, now);
+        final CellState next = PlacementQueue.serve(board, upstream.cell(), swept, draft, now);
+        return draft.outcome(board.cells().with(upstream.cell(), next));
+    }
+
+    private static Outcome<CellSection> check(final Blackboard board, final Instant now) {
+        final Draft draft = new Draft();
+        draft.add(new Effect.StartTimer(new TimerKey.CellCheck(), now.plus(CHECK_INTERVAL)));
+        CellSection section = board.cells();
+        for (final Map.Entry<CellName, CellState> entry : section.cells().entrySet()) {
+            CellState state = PlacementQueue.expire(board, entry.getValue(), draft, now);
+            state = ReservationAudit.audit(board, state, draft, now);
+            section = section.with(entry.getKey(), PlacementQueue.serve(board, entry.getKey(), state, draft, now));
+        }
+        return draft.outcome(section);
+    }
+
+    private static void answer(
+            final Blackboard board,
+            final Incarnation receiver,
+            final AttemptIdentifier attempt,
+            final PlacementVerdict verdict,
+            final Draft draft) {
+        PeerReply.to(board, receiver, new PeerMessage.PlacementAnswer(attempt, verdict, Optional.empty()))
+                .ifPresent(draft::add);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/ConfigurationController.java
@@ -0,0 +1,115 @@
+package org.lacewingstep.controller;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.ConfigurationSection;
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.Outcome;
+import org.lacewingstep.blackboard.PeerMessage;
+import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.domain.Incarnation;
+
+/** Keeps the highest generation of the configuration in force; never goes back. */
+public final class ConfigurationController implements Controller<ConfigurationSection> {
+    @Override
+    public Class<ConfigurationSection> section() {
+        return ConfigurationSection.class;
+    }
+
+    @Override
+    public Outcome<ConfigurationSection> step(final Blackboard board, final Event event, final Instant now) {
+        return switch (event) {
+            case Event.Started() -> read(board, now);
+            case Event.TimerFired(TimerKey.ConfigurationRead()) -> read(board, now);
+            case Event.ConfigurationRead(Optional<Configuration> found, long generation) ->
+                adopt(board, found, generation, Optional.of(now));
+            case Event.PeerMessageReceived(Incarnation sender, PeerMessage message) ->
+                receive(board, sender, message, now);
+            default -> Outcome.of(board.configuration());
+        };
+    }
+
+    private static Outcome<ConfigurationSection> read(final Blackboard board, final Instant now) {
+        final Draft draft = new Draft();
+        draft.add(new Effect.ReadConfiguration(board.configuration().inForce().generation()));
+        draft.add(new Effect.StartTimer(
+                new TimerKey.ConfigurationRead(),
+                now.plus(board.identity().policy().configurationInterval())));
+        return draft.outcome(board.configuration());
+    }
+
+    private static Outcome<ConfigurationSection> adopt(
+            final Blackboard board,
+            final Optional<Configuration> found,
+            final long generation,
+            final Optional<Instant> confirmedAt) {
+        final Draft draft = new Draft();
+        final ConfigurationSection section = board.configuration();
+        Configuration inForce = section.inForce();
+        if (found.isPresent() && found.get().generation() > inForce.generation()) {
+            inForce = found.get();
+            draft.add(new Event.ConfigurationAdopted(inForce.generation()));
+        }
+        final boolean confirms = generation >= inForce.generation() && inForce.generation() > 0;
+        final Optional<Instant> confirmed =
+                confirms ? later(section.confirmedAt(), confirmedAt) : section.confirmedAt();
+        return draft.outcome(new ConfigurationSection(inForce, confirmed));
+    }
+
+    private static Optional<Instant> later(final Optional<Instant> one, final Optional<Instant> other) {
+        if (one.isEmpty() || other.isEmpty()) {
+            return one.or(() -> other);
+        }
+        return one.get().isAfter(other.get()) ? one : other;
+    }
+
+    private static Outcome<ConfigurationSection> receive(
+            final Blackboard board, final Incarnation sender, final PeerMessage message, final Instant now) {
+        return switch (message) {
+            case PeerMessage.Heartbeat beat -> compare(board, sender, beat, now);
+            case PeerMessage.ConfigurationAsk() -> copy(board, sender);
+            case PeerMessage.ConfigurationCopy(Configuration configuration) ->
+                adopt(board, Optional.of(configuration), configuration.generation(), Optional.empty());
+            default -> Outcome.of(board.configuration());
+        };
+    }
+
+    private static Outcome<ConfigurationSection> compare(
+            final Blackboard board, final Incarnation sender, final PeerMessage.Heartbeat beat, final Instant now) {
+        final long generation = board.configuration().inForce().generation();
+        final Draft draft = new Draft();
+        if (beat.generation() > generation) {
+            board.membership()
+                    .member(sender)
+                    .ifPresent(member -> draft.add(new Effect.SendToPeer(member, new PeerMessage.ConfigurationAsk())));
+            return draft.outcome(board.configuration());
+        }
+        if (beat.generation() < generation || beat.confirmedAge().isEmpty()) {
+            return draft.outcome(board.configuration());
+        }
+        return confirm(board, beat.confirmedAge().get(), now);
+    }
+
+    /** A peer with the same generation shares its confirmation, which ages on the way. */
+    private static Outcome<ConfigurationSection> confirm(
+            final Blackboard board, final Duration age, final Instant now) {
+        final ConfigurationSection section = board.configuration();
+        final Optional<Instant> confirmed = later(section.confirmedAt(), Optional.of(now.minus(age)));
+        return Outcome.of(new ConfigurationSection(section.inForce(), confirmed));
+    }
+
+    private static Outcome<ConfigurationSection> copy(final Blackboard board, final Incarnation sender) {
+        final Draft draft = new Draft();
+        final Configuration inForce = board.configuration().inForce();
+        board.membership()
+                .member(sender)
+                .ifPresent(
+                        member -> draft.add(new Effect.SendToPeer(member, new PeerMessage.ConfigurationCopy(inForce))));
+        return draft.outcome(board.configuration());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/PeerReply.java
@@ -0,0 +1,28 @@
+package org.lacewingstep.controller;
+
+import java.util.Optional;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.PeerMessage;
+import org.lacewingstep.domain.Incarnation;
+
+/** Addresses messages to processes that are members. */
+final class PeerReply {
+    private PeerReply() {}
+
+    /**
+     * Creates the effect that sends a message.
+     *
+     * @param board the blackboard, not null
+     * @param receiver the receiving process, not null
+     * @param message the message, not null
+     * @return the effect, empty if the process is no member
+     */
+    static Optional<Effect> to(final Blackboard board, final Incarnation receiver, final PeerMessage message) {
+        if (receiver.equals(board.identity().incarnation())) {
+            return Optional.of(new Effect.SendToPeer(board.identity().member(), message));
+        }
+        return board.membership().member(receiver).map(member -> new Effect.SendToPeer(member, message));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/RequestController.java
@@ -0,0 +1,141 @@
+package org.lacewingstep.controller;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.lacewingstep.blackboard.AttemptResult;
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.Instruction;
+import org.lacewingstep.blackboard.Outcome;
+import org.lacewingstep.blackboard.PeerMessage;
+import org.lacewingstep.blackboard.Refusal;
+import org.lacewingstep.blackboard.RequestDemand;
+import org.lacewingstep.blackboard.RequestSection;
+import org.lacewingstep.blackboard.RequestSection.Phase;
+import org.lacewingstep.blackboard.RequestSection.RequestState;
+import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.blackboard.TokenDebits;
+import org.lacewingstep.domain.AttemptIdentifier;
+import org.lacewingstep.domain.CellName;
+import org.lacewingstep.domain.Incarnation;
+import org.lacewingstep.domain.RequestIdentifier;
+import org.lacewingstep.domain.Reservation;
+import org.lacewingstep.domain.Roster;
+
+/** Leads each request from its arrival to its one answer. */
+public final class RequestController implements Controller<RequestSection> {
+    /** Share of a retry that each request received earns. */
+    private static final double RETRY_SHARE = 0.1;
+
+    @Override
+    public Class<RequestSection> section() {
+        return RequestSection.class;
+    }
+
+    @Override
+    public Outcome<RequestSection> step(final Blackboard board, final Event event, final Instant now) {
+        final Draft draft = new Draft();
+        final RequestSection section = board.requests();
+        return switch (event) {
+            case Event.RequestReceived(RequestDemand demand) -> draft.outcome(receive(board, demand, draft, now));
+            case Event.TokensGranted(RequestIdentifier request, TokenDebits debits) ->
+                draft.outcome(granted(board, request, debits, draft, now));
+            case Event.TokensRefused(RequestIdentifier request, Refusal refusal) ->
+                draft.outcome(refuse(section, request, refusal, draft));
+            case Event.AttemptEnded(AttemptIdentifier attempt, AttemptResult result) ->
+                draft.outcome(AttemptOutcome.apply(board, attempt, result, draft, now));
+            case Event.CallerLeft(RequestIdentifier request, long outputTokens) ->
+                draft.outcome(RequestEnding.abandon(board, request, outputTokens, draft));
+            case Event.TimerFired(TimerKey.RequestDeadline(RequestIdentifier request)) ->
+                draft.outcome(RequestEnding.expire(board, request, draft));
+            case Event.TimerFired(TimerKey.PlacementAnswer(AttemptIdentifier attempt, CellName cell)) ->
+                draft.outcome(Placement.checkHome(board, attempt, draft, now));
+            case Event.RosterAdopted(Roster previous) ->
+                draft.outcome(Placement.askAgainAfter(board, previous, draft, now));
+            case Event.PeerMessageReceived(Incarnation sender, PeerMessage.PlacementAnswer answer) ->
+                draft.outcome(Placement.answered(board, sender, answer, draft, now));
+            case Event.PeerMessageReceived(Incarnation sender, PeerMessage.ReservationAudit audit) ->
+                draft.outcome(audited(board, sender, audit, draft));
+            default -> Outcome.of(section);
+        };
+    }
+
+    private static RequestSection receive(
+            final Blackboard board, final RequestDemand demand, final Draft draft, final Instant now) {
+        final RequestSection earned = new RequestSection(
+                board.requests().requests(),
+                Math.min(RequestSection.RETRY_CREDIT_LIMIT, board.requests().retryCredit() + RETRY_SHARE));
+        if (earned.requests().containsKey(demand.request())) {
+            return earned;
+        }
+        return switch (Admission.check(board, demand, now)) {
+            case Admission.Verdict.Refused(Refusal refusal) -> {
+                draft.add(new Effect.Instruct(demand.request(), new Instruction.Refuse(refusal)));
+                yield earned;
+            }
+            case Admission.Verdict.Accepted accepted -> accept(board, earned, demand, accepted, draft, now);
+        };
+    }
+
+    private static RequestSection accept(
+            final Blackboard board,
+            final RequestSection section,
+            final RequestDemand demand,
+            final Admission.Verdict.Accepted accepted,
+            final Draft draft,
+            final Instant now) {
+        final RequestState state = RequestState.begin(demand, accepted.service().name(), accepted.payer());
+        draft.add(new Effect.StartTimer(new TimerKey.RequestDeadline(demand.request()), demand.deadline()));
+        if (accepted.payer().isPresent() && accepted.tokens() > 0) {
+            draft.add(new Event.TokensNeeded(demand.request(), accepted.payer().get(), accepted.tokens()));
+            return section.with(state);
+        }
+        return Placement.begin(board, section, state, draft, now);
+    }
+
+    private static RequestSection granted(
+            final Blackboard board,
+            final RequestIdentifier request,
+            final TokenDebits debits,
+            final Draft draft,
+            final Instant now) {
+        final RequestState state = board.requests().requests().get(request);
+        if (state == null || !(state.phase() instanceof Phase.AwaitingTokens)) {
+            return board.requests();
+        }
+        return Placement.begin(board, board.requests(), state.with(debits), draft, now);
+    }
+
+    private static RequestSection refuse(
+            final RequestSection section, final RequestIdentifier request, final Refusal refusal, final Draft draft) {
+        if (!section.requests().containsKey(request)) {
+            return section;
+        }
+        draft.add(new Effect.Instruct(request, new Instruction.Refuse(refusal)));
+        return section.without(request);
+    }
+
+    private static RequestSection audited(
+            final Blackboard board,
+            final Incarnation sender,
+            final PeerMessage.ReservationAudit audit,
+            final Draft draft) {
+        final List<AttemptIdentifier> alive = new ArrayList<>();
+        final List<AttemptIdentifier> ended = new ArrayList<>();
+        for (final AttemptIdentifier attempt : audit.attempts()) {
+            final Optional<Reservation> held = RunningReservations.find(board.requests(), attempt);
+            if (held.isPresent()) {
+                alive.add(attempt);
+            } else {
+                ended.add(attempt);
+            }
+        }
+        PeerReply.to(board, sender, new PeerMessage.ReservationStatus(alive, ended))
+                .ifPresent(draft::add);
+        return board.requests();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/UpstreamController.java
@@ -0,0 +1,98 @@
+package org.lacewingstep.controller;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.Outcome;
+import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.blackboard.UpstreamSection;
+import org.lacewingstep.blackboard.UpstreamSection.UpstreamState;
+import org.lacewingstep.domain.CellName;
+import org.lacewingstep.domain.LoadReport;
+import org.lacewingstep.domain.Shard;
+import org.lacewingstep.domain.Upstream;
+import org.lacewingstep.domain.UpstreamName;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/** Watches the load of the upstreams whose cells have their home here, and ramps up those in a cold start. */
+public final class UpstreamController implements Controller<UpstreamSection> {
+    @Override
+    public Class<UpstreamSection> section() {
+        return UpstreamSection.class;
+    }
+
+    @Override
+    public Outcome<UpstreamSection> step(final Blackboard board, final Event event, final Instant now) {
+        return switch (event) {
+            case Event.Started() -> ask(board, now);
+            case Event.TimerFired(TimerKey.LoadReports()) -> ask(board, now);
+            case Event.LoadReported(UpstreamName upstream, LoadReport report) -> reported(board, upstream, report, now);
+            case Event.UpstreamServed(UpstreamName upstream, boolean succeeded) -> served(board, upstream, succeeded);
+            default -> Outcome.of(board.upstreams());
+        };
+    }
+
+    private static Outcome<UpstreamSection> ask(final Blackboard board, final Instant now) {
+        final Draft draft = new Draft();
+        draft.add(new Effect.StartTimer(
+                new TimerKey.LoadReports(), now.plus(board.identity().policy().loadInterval())));
+        final List<Upstream> watched = watched(board);
+        PMap<UpstreamName, UpstreamState> kept = HashTreePMap.empty();
+        for (final Upstream upstream : watched) {
+            draft.add(new Effect.FetchLoad(upstream));
+            kept = kept.plus(upstream.name(), board.upstreams().find(upstream.name()));
+        }
+        return draft.outcome(new UpstreamSection(kept));
+    }
+
+    private static List<Upstream> watched(final Blackboard board) {
+        final List<CellName> cells = board.configuration().inForce().cells().stream()
+                .filter(cell -> board.membership()
+                        .isHome(new Shard.CellShard(cell), board.identity().incarnation()))
+                .toList();
+        return cells.stream()
+                .flatMap(cell -> board.configuration().inForce().upstreamsOf(cell).stream())
+                .toList();
+    }
+
+    private static Outcome<UpstreamSection> reported(
+            final Blackboard board, final UpstreamName name, final LoadReport report, final Instant now) {
+        final UpstreamState state = board.upstreams().find(name);
+        final boolean sameStart = state.report()
+                .filter(earlier -> earlier.startIdentifier().equals(report.startIdentifier()))
+                .isPresent();
+        final boolean turnedCold = report.cold()
+                && state.report().filter(earlier -> !earlier.cold()).isPresent();
+        final int floor = board.identity().policy().coldStartFloor();
+        UpstreamState next;
+        if (!sameStart || turnedCold) {
+            final int running = report.cold() ? 0 : report.held().size();
+            next = new UpstreamState(Optional.of(report), Optional.of(now), Math.max(floor, running), false);
+        } else {
+            next = new UpstreamState(Optional.of(report), Optional.of(now), state.allowance(), state.warm());
+        }
+        return Outcome.of(with(board, name, next));
+    }
+
+    private static Outcome<UpstreamSection> served(
+            final Blackboard board, final UpstreamName name, final boolean succeeded) {
+        final Upstream upstream = board.configuration().inForce().upstreams().get(name);
+        final UpstreamState state = board.upstreams().find(name);
+        if (upstream == null || state.report().isEmpty()) {
+            return Outcome.of(board.upstreams());
+        }
+        final int floor = board.identity().policy().coldStartFloor();
+        final int allowance = succeeded ? Math.min(upstream.memoryPieces(), state.allowance() + 1) : floor;
+        final boolean warm = succeeded && (state.warm() || allowance >= upstream.memoryPieces());
+        return Outcome.of(with(board, name, new UpstreamState(state.report(), state.reportedAt(), allowance, warm)));
+    }
+
+    private static UpstreamSection with(final Blackboard board, final UpstreamName name, final UpstreamState state) {
+        return new UpstreamSection(board.upstreams().states().plus(name, state));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/domain/FailureDomainName.java
@@ -0,0 +1,25 @@
+package org.lacewingstep.domain;
+
+import org.lacewingstep.error.Validate;
+
+/**
+ * Name of a failure domain.
+ *
+ * @param value the text, not blank
+ */
+public record FailureDomainName(String value) implements Comparable<FailureDomainName> {
+    /** Checks the text. */
+    public FailureDomainName {
+        Validate.notBlank(value, "failure domain");
+    }
+
+    @Override
+    public int compareTo(final FailureDomainName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/domain/Incarnation.java
@@ -0,0 +1,34 @@
+package org.lacewingstep.domain;
+
+import org.lacewingstep.error.Validate;
+
+/**
+ * One run of the process of an instance.
+ *
+ * @param instance the instance, not null
+ * @param number the run's number, never used twice for one instance
+ */
+public record Incarnation(InstanceName instance, long number) {
+    /** Checks the parts. */
+    public Incarnation {
+        Validate.notNull(instance, "instance");
+    }
+
+    /**
+     * Parses the form of {@link #toString()}.
+     *
+     * @param text the text, not null
+     * @return the incarnation, never null
+     * @throws org.lacewingstep.error.RouterException if the text has another form
+     */
+    public static Incarnation parse(final String text) {
+        final int slash = text.lastIndexOf('/');
+        Validate.isTrue(slash > 0, "incarnation", "of the form instance/number");
+        return new Incarnation(new InstanceName(text.substring(0, slash)), Long.parseLong(text.substring(slash + 1)));
+    }
+
+    @Override
+    public String toString() {
+        return instance + "/" + number;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/domain/InstanceName.java
@@ -0,0 +1,25 @@
+package org.lacewingstep.domain;
+
+import org.lacewingstep.error.Validate;
+
+/**
+ * Name of an entry instance.
+ *
+ * @param value the text, not blank
+ */
+public record InstanceName(String value) implements Comparable<InstanceName> {
+    /** Checks the text. */
+    public InstanceName {
+        Validate.notBlank(value, "instance");
+    }
+
+    @Override
+    public int compareTo(final InstanceName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/domain/RequestIdentifier.java
@@ -0,0 +1,25 @@
+package org.lacewingstep.domain;
+
+import org.lacewingstep.error.Validate;
+
+/**
+ * Identifier of a request, unique in the fleet.
+ *
+ * @param value the text, not blank
+ */
+public record RequestIdentifier(String value) implements Comparable<RequestIdentifier> {
+    /** Checks the text. */
+    public RequestIdentifier {
+        Validate.notBlank(value, "request");
+    }
+
+    @Override
+    public int compareTo(final RequestIdentifier other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/domain/ServiceKind.java
@@ -0,0 +1,33 @@
+package org.lacewingstep.domain;
+
+import org.lacewingstep.error.Validate;
+
+/** What a service offers and how callers name it. */
+public sealed interface ServiceKind {
+    /**
+     * A model served by prefill and decode upstreams.
+     *
+     * @param model the model's name in requests, not blank
+     */
+    record Model(String model) implements ServiceKind {
+        /** Checks the name. */
+        public Model {
+            Validate.notBlank(model, "model");
+        }
+    }
+
+    /**
+     * A plain HTTP service.
+     *
+     * @param pathPrefix the first part of the path, starting with a slash
+     * @param repeatable whether its calls may be repeated
+     * @param tokensPerCall what a call costs of the team's budget, zero or more
+     */
+    record Plain(String pathPrefix, boolean repeatable, long tokensPerCall) implements ServiceKind {
+        /** Checks path and cost. */
+        public Plain {
+            Validate.isTrue(pathPrefix != null && pathPrefix.startsWith("/"), "path", "a path that starts with /");
+            Validate.notNegative(tokensPerCall, "tokens_per_call");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/domain/UpstreamRole.java
@@ -0,0 +1,8 @@
+package org.lacewingstep.domain;
+
+/** The work that an upstream does. */
+public enum UpstreamRole {
+    DECODE,
+    PLAIN,
+    PREFILL
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/error/ErrorCode.java
@@ -0,0 +1,26 @@
+package org.lacewingstep.error;
+
+/** Stable codes of the errors that callers and operators see. */
+public enum ErrorCode {
+    ARGUMENT_INVALID,
+    BODY_TOO_LARGE,
+    CALLER_STALLED,
+    CONFIGURATION_CONFLICT,
+    CONFIGURATION_INVALID,
+    DEADLINE_EXCEEDED,
+    HOME_UNREACHABLE,
+    INSTANCE_DRAINING,
+    INTERNAL,
+    KEY_UNKNOWN,
+    NO_CAPACITY,
+    NOT_READY,
+    PEER_PROTOCOL,
+    RATE_EXCEEDED,
+    REQUEST_INVALID,
+    ROUTE_FORBIDDEN,
+    SERVICE_UNKNOWN,
+    SETTINGS_INVALID,
+    STORE_UNREACHABLE,
+    TOKENS_INVALID,
+    UPSTREAM_FAILED
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between instances and the connections that carry them. */
+package org.lacewingstep.peer;
--- /dev/null
+++ b/src/main/java/org/lacewingstep/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of model engines and plain services. */
+package org.lacewingstep.upstream;
