Serve one path from end to end as separate processes

Callers' HTTP, the relay of streams, peers over Thrift, the platform's store and list, upstream dialects, settings, commands, and stand-ins with a demo that checks every answer.

--- /dev/null
+++ b/src/main/java/org/lacewingstep/command/CheckCommand.java
@@ -0,0 +1,49 @@
+package org.lacewingstep.command;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+
+import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.settings.InstanceSettings;
+import org.lacewingstep.settings.Inventory;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Checks files without putting them in force. */
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
+        description = "Checks settings, or an inventory with its rules; names every fault and exits with 2 if any.")
+final class CheckCommand implements Callable<Integer> {
+    @Option(names = "--inventory", description = "the inventory, checked together with --rules")
+    private Path inventory;
+
+    @Option(names = "--rules", description = "the rules, checked together with --inventory")
+    private Path rules;
+
+    @Parameters(arity = "0..1", paramLabel = "SETTINGS", description = "settings of an instance, a TOML file")
+    private Path settings;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        if ((inventory == null) != (rules == null) || settings == null && inventory == null) {
+            throw new ParameterException(
+                    spec.commandLine(), "give SETTINGS, or --inventory together with --rules, or all three");
+        }
+        if (settings != null) {
+            InstanceSettings.read(settings);
+        }
+        if (inventory != null) {
+            Inventory.compile(inventory, rules, Configuration.EMPTY);
+        }
+        spec.commandLine().getOut().println("no faults");
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/command/ConfigurationEditor.java
@@ -0,0 +1,69 @@
+package org.lacewingstep.command;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.UnaryOperator;
+
+import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.error.ErrorCode;
+import org.lacewingstep.error.RouterException;
+import org.lacewingstep.platform.ConfigurationStore;
+import org.lacewingstep.platform.ConfigurationStore.StoredHead;
+import org.lacewingstep.platform.StoreClient;
+import ratpack.exec.Promise;
+
+/** Changes the configuration in the store by compare-and-swap. */
+final class ConfigurationEditor {
+    private static final int REMEMBERED_CHANGES = 16;
+
+    private ConfigurationEditor() {}
+
+    /**
+     * Changes the configuration.
+     *
+     * @param storeAddress the store's address, not null
+     * @param change computes the next configuration from the one in the store, not null
+     * @return the generation written
+     * @throws RouterException if the store cannot be reached or another operator was faster
+     */
+    static long edit(final URI storeAddress, final UnaryOperator<Configuration> change) {
+        try (CallRuntime runtime = new CallRuntime()) {
+            return runtime.run(client -> edit(new ConfigurationStore(new StoreClient(client, storeAddress)), change));
+        }
+    }
+
+    private static Promise<Long> edit(final ConfigurationStore store, final UnaryOperator<Configuration> change) {
+        return store.readHead()
+                .flatMap(head -> current(store, head).flatMap(current -> write(store, head, current, change)));
+    }
+
+    private static Promise<Configuration> current(final ConfigurationStore store, final Optional<StoredHead> head) {
+        return head.map(stored -> store.read(stored.head())).orElseGet(() -> Promise.value(Configuration.EMPTY));
+    }
+
+    private static Promise<Long> write(
+            final ConfigurationStore store,
+            final Optional<StoredHead> head,
+            final Configuration current,
+            final UnaryOperator<Configuration> change) {
+        final Configuration next = change.apply(current).withGeneration(current.generation() + 1);
+        final List<String> changes = new ArrayList<>();
+        changes.add(UUID.randomUUID().toString());
+        head.ifPresent(stored ->
+                stored.head().changes().stream().limit(REMEMBERED_CHANGES).forEach(changes::add));
+        final long revision = head.map(StoredHead::revision).orElse(0L);
+        return store.write(next, revision, List.copyOf(changes)).map(inForce -> {
+            if (!inForce) {
+                throw new RouterException(
+                        ErrorCode.CONFIGURATION_CONFLICT,
+                        "write",
+                        "store",
+                        "another operator changed the configuration meanwhile; nothing was changed, try again");
+            }
+            return next.generation();
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/command/DomainCommand.java
@@ -0,0 +1,74 @@
+package org.lacewingstep.command;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.domain.FailureDomain;
+import org.lacewingstep.domain.FailureDomainName;
+import org.lacewingstep.error.ErrorCode;
+import org.lacewingstep.error.RouterException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Takes failure domains out and brings them back. */
+@Command(
+        name = "domain",
+        mixinStandardHelpOptions = true,
+        description = "Takes a failure domain out of service or brings it back.")
+final class DomainCommand {
+    @Spec
+    private CommandSpec spec;
+
+    /**
+     * Takes a failure domain out; its upstreams get no new work.
+     *
+     * @param store the store, not null
+     * @param name the failure domain, not null
+     * @return the exit code
+     */
+    @Command(name = "out", mixinStandardHelpOptions = true, description = "No new work goes to the failure domain.")
+    int takeOut(@Mixin final StoreOption store, @Parameters(paramLabel = "DOMAIN") final String name) {
+        return change(store, name, true);
+    }
+
+    /**
+     * Brings a failure domain back.
+     *
+     * @param store the store, not null
+     * @param name the failure domain, not null
+     * @return the exit code
+     */
+    @Command(name = "in", mixinStandardHelpOptions = true, description = "The failure domain gets work again.")
+    int bringIn(@Mixin final StoreOption store, @Parameters(paramLabel = "DOMAIN") final String name) {
+        return change(store, name, false);
+    }
+
+    private int change(final StoreOption store, final String name, final boolean takenOut) {
+        final FailureDomainName domain = new FailureDomainName(name);
+        final long generation =
+                ConfigurationEditor.edit(store.address(), current -> replace(current, domain, takenOut));
+        spec.commandLine().getOut().println("generation " + generation + " is in the store");
+        return 0;
+    }
+
+    private static Configuration replace(
+            final Configuration current, final FailureDomainName name, final boolean takenOut) {
+        if (!current.failureDomains().containsKey(name)) {
+            throw new RouterException(
+                    ErrorCode.CONFIGURATION_INVALID, "domain", name.value(), "there is no such failure domain");
+        }
+        final Map<FailureDomainName, FailureDomain> domains = new HashMap<>(current.failureDomains());
+        domains.put(name, new FailureDomain(name, takenOut));
+        return new Configuration(
+                current.generation(),
+                domains,
+                current.services(),
+                current.upstreams(),
+                current.teams(),
+                current.keys());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/command/StateCommand.java
@@ -0,0 +1,35 @@
+package org.lacewingstep.command;
+
+import java.net.URI;
+import java.util.concurrent.Callable;
+
+import org.lacewingstep.domain.PeerAddress;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Prints the state of an instance. */
+@Command(name = "state", mixinStandardHelpOptions = true, description = "Prints the state of a running instance.")
+final class StateCommand implements Callable<Integer> {
+    @Option(
+            names = "--instance",
+            required = true,
+            paramLabel = "ADDRESS",
+            description = "the instance's operator address, host:port")
+    private String instance;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        final PeerAddress address = PeerAddress.parse(instance);
+        try (CallRuntime runtime = new CallRuntime()) {
+            final String state = runtime.run(client -> client.get(URI.create("http://" + address + "/state"))
+                    .map(answer -> answer.getBody().getText()));
+            spec.commandLine().getOut().println(state);
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/command/TeamCommand.java
@@ -0,0 +1,89 @@
+package org.lacewingstep.command;
+
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+
+import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.domain.KeyDigest;
+import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.error.ErrorCode;
+import org.lacewingstep.error.RouterException;
+import org.lacewingstep.traffic.RequestDesk;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Grants and withdraws the keys of teams. */
+@Command(name = "team", mixinStandardHelpOptions = true, description = "Grants and withdraws the keys of teams.")
+final class TeamCommand {
+    private static final int KEY_BYTES = 24;
+
+    @Spec
+    private CommandSpec spec;
+
+    /**
+     * Grants a new key and prints it once; the store holds only its digest.
+     *
+     * @param store the store, not null
+     * @param name the team, not null
+     * @return the exit code
+     */
+    @Command(name = "grant-key", mixinStandardHelpOptions = true, description = "Prints a new key of a team.")
+    int grantKey(@Mixin final StoreOption store, @Parameters(paramLabel = "TEAM") final String name) {
+        final byte[] random = new byte[KEY_BYTES];
+        new SecureRandom().nextBytes(random);
+        final String key = HexFormat.of().formatHex(random);
+        ConfigurationEditor.edit(
+                store.address(), current -> grant(current, RequestDesk.digest(key), new TeamName(name)));
+        spec.commandLine().getOut().println(key);
+        return 0;
+    }
+
+    /**
+     * Withdraws a key.
+     *
+     * @param store the store, not null
+     * @param key the key, not null
+     * @return the exit code
+     */
+    @Command(name = "withdraw-key", mixinStandardHelpOptions = true, description = "Withdraws a key.")
+    int withdrawKey(@Mixin final StoreOption store, @Parameters(paramLabel = "KEY") final String key) {
+        final long generation =
+                ConfigurationEditor.edit(store.address(), current -> withdraw(current, RequestDesk.digest(key)));
+        spec.commandLine().getOut().println("generation " + generation + " is in the store");
+        return 0;
+    }
+
+    private static Configuration grant(final Configuration current, final KeyDigest digest, final TeamName team) {
+        if (!current.teams().containsKey(team)) {
+            throw new RouterException(
+                    ErrorCode.CONFIGURATION_INVALID, "grant-key", team.value(), "there is no such team");
+        }
+        final Map<KeyDigest, TeamName> keys = new HashMap<>(current.keys());
+        keys.put(digest, team);
+        return withKeys(current, keys);
+    }
+
+    private static Configuration withdraw(final Configuration current, final KeyDigest digest) {
+        final Map<KeyDigest, TeamName> keys = new HashMap<>(current.keys());
+        if (keys.remove(digest) == null) {
+            throw new RouterException(
+                    ErrorCode.CONFIGURATION_INVALID, "withdraw-key", "key", "this key is not granted");
+        }
+        return withKeys(current, keys);
+    }
+
+    private static Configuration withKeys(final Configuration current, final Map<KeyDigest, TeamName> keys) {
+        return new Configuration(
+                current.generation(),
+                current.failureDomains(),
+                current.services(),
+                current.upstreams(),
+                current.teams(),
+                keys);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/control/EffectDispatcher.java
@@ -0,0 +1,40 @@
+package org.lacewingstep.control;
+
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.peer.PeerNetwork;
+import org.lacewingstep.platform.PlatformAdapter;
+import org.lacewingstep.traffic.InstructionRouter;
+import org.lacewingstep.upstream.LoadAdapter;
+
+/**
+ * Hands each effect to the adapter that carries it out.
+ *
+ * @param instructions delivers instructions to traffic threads, not null
+ * @param peers sends messages to peers, not null
+ * @param platform talks to the platform, not null
+ * @param upstreams talks to upstreams, not null
+ * @param stopProcess ends the process, not null
+ */
+public record EffectDispatcher(
+        InstructionRouter instructions,
+        PeerNetwork peers,
+        PlatformAdapter platform,
+        LoadAdapter upstreams,
+        Runnable stopProcess)
+        implements EffectHandler {
+    @Override
+    public void handle(final Effect effect) {
+        switch (effect) {
+            case Effect.StartTimer timer -> throw new IllegalArgumentException("timers belong to the control thread");
+            case Effect.Instruct(var request, var instruction) -> instructions.deliver(request, instruction);
+            case Effect.SendToPeer(var receiver, var message) -> peers.send(receiver, message);
+            case Effect.ReadConfiguration(long generation) -> platform.readConfiguration(generation);
+            case Effect.ReadPlatform() -> platform.readPlatform();
+            case Effect.RenewLease(long lease) -> platform.renewLease(lease);
+            case Effect.WriteRoster(var roster, long revision) -> platform.writeRoster(roster, revision);
+            case Effect.FetchLoad(var upstream) -> upstreams.fetchLoad(upstream);
+            case Effect.CancelAttempt(var upstream, var attempt) -> upstreams.cancel(upstream, attempt);
+            case Effect.StopProcess() -> stopProcess.run();
+        }
+    }
+}
--- a/src/main/java/org/lacewingstep/domain/TeamRange.java
+++ b/src/main/java/org/lacewingstep/domain/TeamRange.java
@@ -16,8 +16,7 @@
      * @return the range, less than {@link #COUNT}
      */
     public static int of(final TeamName team) {
-        final int hash =
-                Hashing.murmur3_128().hashUnencodedChars(team.value()).asInt();
+        final int hash = Hashing.murmur3_128().hashUnencodedChars(team.value()).asInt();
         return Math.floorMod(hash, COUNT);
     }
 }
--- a/src/main/java/org/lacewingstep/domain/Upstream.java
+++ b/src/main/java/org/lacewingstep/domain/Upstream.java
@@ -33,4 +33,14 @@
         Validate.notNull(cell, "cell");
         Validate.isTrue(memoryPieces > 0, "memory_pieces", "more than zero");
     }
+
+    /**
+     * Copies this upstream with another wish to leave.
+     *
+     * @param next whether it gets no new work
+     * @return the copy, never null
+     */
+    public Upstream withLeaving(final boolean next) {
+        return new Upstream(name, service, role, address, failureDomain, cell, memoryPieces, next);
+    }
 }
--- /dev/null
+++ b/src/main/java/org/lacewingstep/platform/StoreKeys.java
@@ -0,0 +1,30 @@
+package org.lacewingstep.platform;
+
+import org.lacewingstep.domain.Incarnation;
+
+/** Names of the keys that the system uses in the store. */
+public final class StoreKeys {
+    /** The head of the configuration. */
+    public static final String CONFIGURATION_HEAD = "lacewingstep/configuration/head";
+
+    /** Prefix of the parts of configurations. */
+    public static final String CONFIGURATION_PART = "lacewingstep/configuration/part/";
+
+    /** Prefix of the keys that go with the lease of an instance. */
+    public static final String LEASES = "lacewingstep/leases/";
+
+    /** The roster. */
+    public static final String ROSTER = "lacewingstep/roster";
+
+    private StoreKeys() {}
+
+    /**
+     * Names the key that goes with the lease of a process.
+     *
+     * @param process the process, not null
+     * @return the key, never null
+     */
+    public static String lease(final Incarnation process) {
+        return LEASES + process;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/settings/Inventory.java
@@ -0,0 +1,258 @@
+package org.lacewingstep.settings;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+
+import org.lacewingstep.domain.Access;
+import org.lacewingstep.domain.CellName;
+import org.lacewingstep.domain.CellPlanner;
+import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.domain.FailureDomain;
+import org.lacewingstep.domain.FailureDomainName;
+import org.lacewingstep.domain.KeyDigest;
+import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.Service;
+import org.lacewingstep.domain.ServiceKind;
+import org.lacewingstep.domain.ServiceName;
+import org.lacewingstep.domain.Team;
+import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.domain.Upstream;
+import org.lacewingstep.domain.UpstreamName;
+import org.lacewingstep.domain.UpstreamRole;
+import org.lacewingstep.error.ErrorCode;
+import org.lacewingstep.error.RouterException;
+
+/** Compiles the operators' inventory and rules into a configuration. */
+public final class Inventory {
+    private static final int DEFAULT_UPSTREAMS_PER_CELL = 4;
+
+    private final Configuration current;
+    private final TomlTable inventory;
+    private final TomlTable rules;
+    private final Map<FailureDomainName, FailureDomain> domains = new HashMap<>();
+    private final Map<ServiceName, Service> services = new HashMap<>();
+    private final Map<TeamName, Team> teams = new HashMap<>();
+    private final Map<UpstreamName, Upstream> upstreams = new HashMap<>();
+
+    private Inventory(final TomlTable inventory, final TomlTable rules, final Configuration current) {
+        this.inventory = inventory;
+        this.rules = rules;
+        this.current = current;
+    }
+
+    /**
+     * Compiles a configuration; keys, failure domains taken out and upstreams leaving stay as they are.
+     *
+     * @param inventoryFile the inventory, not null
+     * @param rulesFile the rules, not null
+     * @param current the configuration to be replaced, not null
+     * @return the next configuration, never null
+     * @throws RouterException with every fault of both files, if there is one
+     */
+    public static Configuration compile(final Path inventoryFile, final Path rulesFile, final Configuration current) {
+        final Inventory inventory = new Inventory(TomlFile.read(inventoryFile), TomlFile.read(rulesFile), current);
+        return inventory.compile();
+    }
+
+    private Configuration compile() {
+        inventory.allow(Set.of("failure_domain", "service", "team", "upstream"));
+        rules.allow(Set.of("route", "upstreams_per_cell"));
+        readDomains();
+        readTeams();
+        readServices();
+        readUpstreams();
+        final List<String> lines = new ArrayList<>(inventory.faults().lines());
+        lines.addAll(rules.faults().lines());
+        if (!lines.isEmpty()) {
+            throw new RouterException(
+                    ErrorCode.CONFIGURATION_INVALID, "check", "inventory and rules", String.join("\n", lines));
+        }
+        return new Configuration(current.generation() + 1, domains, services, upstreams, teams, keptKeys());
+    }
+
+    private Map<KeyDigest, TeamName> keptKeys() {
+        final Map<KeyDigest, TeamName> kept = new HashMap<>(current.keys());
+        kept.values().removeIf(team -> !teams.containsKey(team));
+        return kept;
+    }
+
+    private void readDomains() {
+        for (final TomlTable table : inventory.tables("failure_domain")) {
+            table.allow(Set.of("name"));
+            final FailureDomainName name = table.parsed("name", FailureDomainName::new, null);
+            final FailureDomain earlier =
+                    name == null ? null : current.failureDomains().get(name);
+            final boolean takenOut = earlier != null && earlier.takenOut();
+            if (name != null && domains.put(name, new FailureDomain(name, takenOut)) != null) {
+                table.fault("name", "must be unique; " + name + " stands twice");
+            }
+        }
+    }
+
+    private void readTeams() {
+        for (final TomlTable table : inventory.tables("team")) {
+            table.allow(Set.of("name", "tokens_per_second", "burst_tokens"));
+            final TeamName name = table.parsed("name", TeamName::new, null);
+            final long rate = table.number("tokens_per_second", 1, Integer.MAX_VALUE, 0);
+            final long burst = table.number("burst_tokens", 2 * rate, Long.MAX_VALUE / 2, 0);
+            if (name != null && teams.put(name, new Team(name, rate, burst)) != null) {
+                table.fault("name", "must be unique; " + name + " stands twice");
+            }
+        }
+    }
+
+    private void readServices() {
+        final Map<ServiceName, Access> routes = readRoutes();
+        for (final TomlTable table : inventory.tables("service")) {
+            table.allow(Set.of("name", "model", "path", "repeatable", "tokens_per_call"));
+            final ServiceName name = table.parsed("name", ServiceName::new, null);
+            final ServiceKind kind = readKind(table);
+            if (name == null || kind == null) {
+                continue;
+            }
+            final Access access = routes.remove(name);
+            if (access == null) {
+                table.fault("name", "needs a [[route]] in the rules; " + name + " has none");
+            } else if (services.put(name, new Service(name, kind, access)) != null) {
+                table.fault("name", "must be unique; " + name + " stands twice");
+            }
+        }
+        routes.keySet().forEach(name -> rules.fault("route", "names the unknown service " + name));
+    }
+
+    private static ServiceKind readKind(final TomlTable table) {
+        if (table.has("model") == table.has("path")) {
+            table.fault("model", "exactly one of model and path must be given");
+            return null;
+        }
+        if (table.has("model")) {
+            return table.parsed("model", ServiceKind.Model::new, null);
+        }
+        final boolean repeatable = table.bool("repeatable", false);
+        final long tokens = table.number("tokens_per_call", 0, Integer.MAX_VALUE, 1);
+        return table.parsed("path", path -> new ServiceKind.Plain(path, repeatable, tokens), null);
+    }
+
+    private Map<ServiceName, Access> readRoutes() {
+        final Map<ServiceName, Access> routes = new HashMap<>();
+        for (final TomlTable table : rules.tables("route")) {
+            table.allow(Set.of("service", "teams", "open"));
+            final ServiceName service = table.parsed("service", ServiceName::new, null);
+            final boolean open = table.bool("open", false);
+            final Set<TeamName> allowed = readRouteTeams(table);
+            if (open == table.has("teams")) {
+                table.fault("teams", "give either teams = [\"...\"] or open = true");
+            }
+            final Access access = open ? new Access.OpenToAll() : new Access.OpenToTeams(allowed);
+            if (service != null && routes.put(service, access) != null) {
+                table.fault("service", "must be unique; " + service + " has two routes");
+            }
+        }
+        return routes;
+    }
+
+    private Set<TeamName> readRouteTeams(final TomlTable table) {
+        final Set<TeamName> allowed = new HashSet<>();
+        for (final String text : table.texts("teams")) {
+            if (text.isBlank() || !teams.containsKey(new TeamName(text))) {
+                table.fault("teams", "names the unknown team '" + text + "'");
+            } else {
+                allowed.add(new TeamName(text));
+            }
+        }
+        return allowed;
+    }
+
+    private void readUpstreams() {
+        final Map<UpstreamName, TomlTable> tables = new HashMap<>();
+        final Map<ServiceName, Map<UpstreamName, UpstreamRole>> roles = new HashMap<>();
+        for (final TomlTable table : inventory.tables("upstream")) {
+            table.allow(Set.of("name", "service", "role", "address", "failure_domain", "memory_pieces"));
+            final UpstreamName name = table.parsed("name", UpstreamName::new, null);
+            final ServiceName service = reference(table, "service", ServiceName::new, services.keySet());
+            final UpstreamRole role = table.parsed("role", Inventory::role, null);
+            if (name != null && tables.put(name, table) != null) {
+                table.fault("name", "must be unique; " + name + " stands twice");
+            }
+            if (name != null && service != null && role != null) {
+                checkRole(table, services.get(service), role);
+                roles.computeIfAbsent(service, key -> new HashMap<>()).put(name, role);
+            }
+        }
+        final int perCell = (int) rules.number("upstreams_per_cell", 1, Short.MAX_VALUE, DEFAULT_UPSTREAMS_PER_CELL);
+        roles.forEach((service, members) -> {
+            final Map<UpstreamName, CellName> cells =
+                    CellPlanner.assign(service, members, currentCells(service), perCell);
+            members.forEach((name, role) -> readUpstream(tables.get(name), name, service, role, cells.get(name)));
+        });
+        services.keySet().stream()
+                .filter(service -> !roles.containsKey(service))
+                .forEach(service -> inventory.fault("service", service + " needs at least one upstream"));
+        roles.forEach(this::checkPools);
+    }
+
+    private void checkPools(final ServiceName service, final Map<UpstreamName, UpstreamRole> members) {
+        final boolean model = services.get(service).kind() instanceof ServiceKind.Model;
+        final boolean complete =
+                members.containsValue(UpstreamRole.PREFILL) && members.containsValue(UpstreamRole.DECODE);
+        if (model && !complete) {
+            inventory.fault("upstream", service + " needs at least one prefill and one decode upstream");
+        }
+    }
+
+    private static void checkRole(final TomlTable table, final Service service, final UpstreamRole role) {
+        final boolean plain = service.kind() instanceof ServiceKind.Plain;
+        if (plain != (role == UpstreamRole.PLAIN)) {
+            table.fault(
+                    "role",
+                    plain ? "must be \"plain\" for a plain service" : "must be \"prefill\" or \"decode\" for a model");
+        }
+    }
+
+    private Map<UpstreamName, CellName> currentCells(final ServiceName service) {
+        final Map<UpstreamName, CellName> cells = new HashMap<>();
+        current.upstreamsOf(service).forEach(upstream -> cells.put(upstream.name(), upstream.cell()));
+        return cells;
+    }
+
+    private void readUpstream(
+            final TomlTable table,
+            final UpstreamName name,
+            final ServiceName service,
+            final UpstreamRole role,
+            final CellName cell) {
+        final PeerAddress address = table.parsed("address", PeerAddress::parse, null);
+        final FailureDomainName domain = reference(table, "failure_domain", FailureDomainName::new, domains.keySet());
+        final int pieces = (int) table.number("memory_pieces", 1, Integer.MAX_VALUE, 0);
+        final Upstream earlier = current.upstreams().get(name);
+        final boolean leaving = earlier != null && earlier.leaving();
+        if (address != null && domain != null) {
+            upstreams.put(name, new Upstream(name, service, role, address, domain, cell, pieces, leaving));
+        }
+    }
+
+    private static <T> T reference(
+            final TomlTable table, final String key, final Function<String, T> parse, final Set<T> known) {
+        final T value = table.parsed(key, parse, null);
+        if (value != null && !known.contains(value)) {
+            table.fault(key, "names the unknown " + key.replace('_', ' ') + " " + value);
+            return null;
+        }
+        return value;
+    }
+
+    private static UpstreamRole role(final String text) {
+        return switch (text) {
+            case "decode" -> UpstreamRole.DECODE;
+            case "plain" -> UpstreamRole.PLAIN;
+            case "prefill" -> UpstreamRole.PREFILL;
+            default -> throw new IllegalArgumentException("must be one of \"decode\", \"plain\", \"prefill\"");
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/traffic/ErrorAnswer.java
@@ -0,0 +1,90 @@
+package org.lacewingstep.traffic;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.lacewingstep.domain.RequestIdentifier;
+import org.lacewingstep.error.ErrorCode;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import ratpack.handling.Context;
+
+/** Answers callers with errors that say whether the request was run. */
+final class ErrorAnswer {
+    /** Header that carries the request's identifier. */
+    static final String REQUEST_HEADER = "X-Request-Id";
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(ErrorAnswer.class);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private ErrorAnswer() {}
+
+    /**
+     * Creates the body of an error.
+     *
+     * @param request the request, not null
+     * @param failure the failure, not null
+     * @return the JSON text, never null
+     */
+    static String body(final RequestIdentifier request, final RequestFailure failure) {
+        final ObjectNode body = MAPPER.createObjectNode();
+        body.putObject("error")
+                .put("code", failure.code().name())
+                .put("message", failure.getMessage())
+                .put("run", failure.hasMaybeRun() ? "may have run" : "not run")
+                .put("request", request.value());
+        return body.toString();
+    }
+
+    /**
+     * Answers with an error; a failure of any other kind is reported as one that may have run.
+     *
+     * @param context the caller's context, not null
+     * @param request the request, not null
+     * @param cause the failure, not null
+     */
+    static void send(final Context context, final RequestIdentifier request, final Throwable cause) {
+        final RequestFailure failure = toFailure(request, cause);
+        LOGGER.atInfo()
+                .addKeyValue("request", request)
+                .addKeyValue("step", "answer")
+                .log("answered with {}: {}", failure.code(), failure.getMessage());
+        if (failure.retryAfter().isPositive()) {
+            final long seconds = Math.max(1, failure.retryAfter().toSeconds());
+            context.getResponse().getHeaders().set("Retry-After", Long.toString(seconds));
+        }
+        context.getResponse().getHeaders().set(REQUEST_HEADER, request.value());
+        context.getResponse().status(status(failure.code()));
+        context.getResponse().send("application/json", body(request, failure));
+    }
+
+    /**
+     * Turns any failure into one that a caller may see.
+     *
+     * @param request the request, not null
+     * @param cause the failure, not null
+     * @return the failure, never null
+     */
+    static RequestFailure toFailure(final RequestIdentifier request, final Throwable cause) {
+        if (cause instanceof RequestFailure known) {
+            return known;
+        }
+        LOGGER.atError().addKeyValue("request", request).setCause(cause).log("unexpected failure");
+        return RequestFailure.mayHaveRun(ErrorCode.INTERNAL, "the router failed");
+    }
+
+    private static int status(final ErrorCode code) {
+        return switch (code) {
+            case REQUEST_INVALID, TOKENS_INVALID, ARGUMENT_INVALID -> 400;
+            case KEY_UNKNOWN -> 401;
+            case ROUTE_FORBIDDEN -> 403;
+            case SERVICE_UNKNOWN -> 404;
+            case CALLER_STALLED -> 408;
+            case BODY_TOO_LARGE -> 413;
+            case RATE_EXCEEDED -> 429;
+            case UPSTREAM_FAILED -> 502;
+            case NO_CAPACITY, HOME_UNREACHABLE, INSTANCE_DRAINING, NOT_READY, STORE_UNREACHABLE -> 503;
+            case DEADLINE_EXCEEDED -> 504;
+            default -> 500;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/upstream/LoadAdapter.java
@@ -0,0 +1,68 @@
+package org.lacewingstep.upstream;
+
+import java.util.function.Consumer;
+
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.domain.AttemptIdentifier;
+import org.lacewingstep.domain.Upstream;
+import org.lacewingstep.domain.UpstreamRole;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import ratpack.exec.ExecController;
+
+/** Carries out the effects at upstreams that belong to no running request. */
+public final class LoadAdapter {
+    private static final Logger LOGGER = LoggerFactory.getLogger(LoadAdapter.class);
+
+    private final UpstreamClient client;
+    private final Consumer<Event> events;
+    private final ExecController execution;
+
+    /**
+     * Creates an adapter.
+     *
+     * @param client the client, not null
+     * @param events receives the reports, not null
+     * @param execution runs the calls, not null
+     */
+    public LoadAdapter(final UpstreamClient client, final Consumer<Event> events, final ExecController execution) {
+        this.client = client;
+        this.events = events;
+        this.execution = execution;
+    }
+
+    /**
+     * Cancels an attempt; plain services know no cancelling.
+     *
+     * @param upstream the upstream, not null
+     * @param attempt the attempt, not null
+     */
+    public void cancel(final Upstream upstream, final AttemptIdentifier attempt) {
+        if (upstream.role() == UpstreamRole.PLAIN) {
+            return;
+        }
+        execution
+                .fork()
+                .onError(failure -> LOGGER.atInfo()
+                        .addKeyValue("request", attempt)
+                        .addKeyValue("step", "cancel")
+                        .addKeyValue("peer", upstream.name())
+                        .log("cancelling failed: {}", failure.toString()))
+                .start(started -> client.cancel(upstream, attempt)
+                        .then(status ->
+                                LOGGER.debug("cancelled {} at {}, status {}", attempt, upstream.name(), status)));
+    }
+
+    /**
+     * Asks an upstream for its load.
+     *
+     * @param upstream the upstream, not null
+     */
+    public void fetchLoad(final Upstream upstream) {
+        execution
+                .fork()
+                .onError(failure -> events.accept(new Event.LoadReportFailed(upstream.name())))
+                .start(started -> client.load(upstream)
+                        .then(report -> events.accept(new Event.LoadReported(upstream.name(), report))));
+    }
+}
--- /dev/null
+++ b/src/main/thrift/peer.thrift
@@ -0,0 +1,146 @@
+namespace java org.lacewingstep.peer.wire
+
+struct WireHello {
+  1: string instance
+  2: i64 incarnation
+}
+
+struct WireAcknowledgement {
+  1: i64 messages
+}
+
+struct WireReservation {
+  1: string request
+  2: i32 attempt
+  3: string instance
+  4: i64 incarnation
+  5: string cell
+  6: optional string prefill
+  7: string target
+  8: i32 pieces
+}
+
+struct WireAttempt {
+  1: string request
+  2: i32 attempt
+}
+
+struct WireHeartbeat {
+  1: i64 number
+  2: i64 echo
+  3: i64 epoch
+  4: i64 settledEpoch
+  5: i64 generation
+  6: optional i64 confirmedAgeMilliseconds
+}
+
+struct WireEpochAcknowledged {
+  1: i64 epoch
+  2: list<WireReservation> reservations
+}
+
+struct WireTokenAsk {
+  1: i64 question
+  2: string team
+  3: i32 slot
+  4: i64 tokens
+  5: bool partial
+  6: i64 patienceMilliseconds
+}
+
+struct WireTokenAnswer {
+  1: i64 question
+  2: i32 verdict
+  3: i64 tokens
+  4: i64 debit
+  5: i64 retryAfterMilliseconds
+}
+
+struct WireTokenRefund {
+  1: string team
+  2: i32 slot
+  3: i64 debit
+  4: i64 tokens
+}
+
+struct WireBudgetHandover {
+  1: i64 epoch
+  2: string team
+  3: i32 slot
+  4: double level
+}
+
+struct WirePlacementAsk {
+  1: WireAttempt attempt
+  2: string cell
+  3: optional string team
+  4: i64 tokens
+  5: i32 pieces
+  6: list<string> avoided
+  7: i64 patienceMilliseconds
+}
+
+struct WirePlacementAnswer {
+  1: WireAttempt attempt
+  2: i32 verdict
+  3: optional WireReservation reservation
+}
+
+struct WirePlacementRelease {
+  1: WireAttempt attempt
+  2: string cell
+  3: optional string blamed
+  4: bool completed
+}
+
+struct WireReservationAudit {
+  1: list<WireAttempt> attempts
+}
+
+struct WireReservationStatus {
+  1: list<WireAttempt> alive
+  2: list<WireAttempt> ended
+}
+
+struct WireRosterAsk {
+}
+
+struct WireMember {
+  1: string instance
+  2: i64 incarnation
+  3: string host
+  4: i32 port
+  5: string failureDomain
+}
+
+struct WireRosterCopy {
+  1: i64 epoch
+  2: i64 revision
+  3: list<WireMember> members
+}
+
+struct WireConfigurationAsk {
+}
+
+struct WireConfigurationCopy {
+  1: binary document
+}
+
+union WireMessage {
+  1: WireHello hello
+  2: WireHeartbeat heartbeat
+  3: WireEpochAcknowledged epochAcknowledged
+  4: WireTokenAsk tokenAsk
+  5: WireTokenAnswer tokenAnswer
+  6: WireTokenRefund tokenRefund
+  7: WireBudgetHandover budgetHandover
+  8: WirePlacementAsk placementAsk
+  9: WirePlacementAnswer placementAnswer
+  10: WirePlacementRelease placementRelease
+  11: WireReservationAudit reservationAudit
+  12: WireReservationStatus reservationStatus
+  13: WireRosterAsk rosterAsk
+  14: WireRosterCopy rosterCopy
+  15: WireConfigurationAsk configurationAsk
+  16: WireConfigurationCopy configurationCopy
+}
--- /dev/null
+++ b/src/standin/java/org/lacewingstep/standin/Demo.java
@@ -0,0 +1,235 @@
+package org.lacewingstep.standin;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Starts stand-ins and two entry instances as processes, sends real requests and checks every answer. */
+public final class Demo {
+    private static final int STREAMS = 20;
+    private static final int WAIT_MILLISECONDS = 100;
+    private static final int WAIT_TURNS = 600;
+
+    private final DemoCaller caller = new DemoCaller();
+    private final List<String> faults = new ArrayList<>();
+    private final DemoProcesses processes;
+    private final DemoSite site = new DemoSite();
+
+    private Demo(final DemoProcesses processes) {
+        this.processes = processes;
+    }
+
+    /**
+     * Runs the demonstration; exits with 0 only if every answer was right.
+     *
+     * @param arguments the product's binary, not null
+     */
+    public static void main(final String... arguments) throws Exception {
+        final List<String> faults;
+        try (DemoProcesses processes = new DemoProcesses(Path.of(arguments[0]).toAbsolutePath())) {
+            final Demo demo = new Demo(processes);
+            demo.run();
+            faults = demo.faults;
+        }
+        System.out.println(faults.isEmpty() ? "demo: all answers were right" : "demo: WRONG: " + faults);
+        System.exit(faults.isEmpty() ? 0 : 1);
+    }
+
+    private void run() throws Exception {
+        final String key = startSite();
+        showCompletions(key);
+        showFaults(key);
+        showPlainCalls(key);
+        showRefusals(key);
+        showStates();
+        showShutdown(key);
+    }
+
+    private String startSite() throws Exception {
+        site.startStandIns(processes);
+        waitFor("store", () -> isAnswering("store", "/standin/calls"));
+        final Path inventory = site.writeInventory(processes.folder());
+        final Path rules = site.writeRules(processes.folder());
+        say(processes.run(
+                "apply", "--store", site.store(), "--inventory", inventory.toString(), "--rules", rules.toString()));
+        final String key = processes.run("team", "grant-key", "--store", site.store(), "weavers");
+        for (final String name : DemoSite.INSTANCES) {
+            processes.startInstance(name, site.writeSettings(processes.folder(), name));
+        }
+        for (final String name : DemoSite.INSTANCES) {
+            waitFor(name, () -> isAnswering(name + "-operator", "/ready"));
+        }
+        waitFor("a first answer", () -> answered(key));
+        return key;
+    }
+
+    private boolean answered(final String key) throws Exception {
+        final int port = site.port(DemoSite.INSTANCES.getFirst());
+        return caller.complete(port, key, "warm", 1, false).get().statusCode() == 200;
+    }
+
+    private void showCompletions(final String key) throws Exception {
+        final String prompt = "Describe a basket of two colours.";
+        final String expected = EngineText.generate(prompt, 12);
+        for (final String name : DemoSite.INSTANCES) {
+            final HttpResponse<String> streamed =
+                    caller.complete(site.port(name), key, prompt, 12, true).get();
+            check(name + " streamed", expected, DemoCaller.streamedText(streamed.body()));
+            final HttpResponse<String> whole =
+                    caller.complete(site.port(name), key, prompt, 12, false).get();
+            check(name + " whole", expected, DemoCaller.wholeText(whole.body()));
+        }
+    }
+
+    private void showFaults(final String key) throws Exception {
+        final String prompt = "A prism, polished twice.";
+        final String expected = EngineText.generate(prompt, 20);
+        for (final String fault : List.of("cut", "crossed", "doubled", "stalled")) {
+            for (int index = 0; index < 2; index++) {
+                caller.send(site.port("decode-" + index), "/standin/fault/" + fault + "/7", "", "");
+            }
+            final int port = site.port(DemoSite.INSTANCES.getFirst());
+            final HttpResponse<String> first =
+                    caller.complete(port, key, prompt, 20, true).get();
+            check("stream " + fault, expected, DemoCaller.streamedText(first.body()));
+            caller.complete(port, key, prompt, 20, true).get();
+        }
+    }
+
+    private void showPlainCalls(final String key) throws Exception {
+        final int port = site.port(DemoSite.INSTANCES.getLast());
+        final HttpResponse<String> sale = caller.send(port, "/ledger/sales", key, "sale-1");
+        check("plain call", "done 1 sale-1", sale.body());
+        for (int index = 0; index < 2; index++) {
+            caller.send(site.port("ledger-" + index), "/standin/drop-next", "", "");
+        }
+        final HttpResponse<String> lost = caller.send(port, "/ledger/sales", key, "sale-2");
+        check(
+                "lost answer",
+                "may have run",
+                DemoCaller.json(lost.body()).path("error").path("run").asText());
+        int executions = 0;
+        for (int index = 0; index < 2; index++) {
+            final JsonNode stats = DemoCaller.json(
+                    caller.get(site.port("ledger-" + index), "/standin/stats").body());
+            executions += stats.path("executions").path("sale-2").asInt();
+            check("key at ledger-" + index, "0", stats.path("keys_seen").asText());
+        }
+        check("executions of the lost call", "1", Integer.toString(executions));
+    }
+
+    private void showRefusals(final String key) throws Exception {
+        final int port = site.port(DemoSite.INSTANCES.getFirst());
+        final HttpResponse<String> unknown =
+                caller.complete(port, "no-such-key", "hello", 4, false).get();
+        check("unknown key", "401", Integer.toString(unknown.statusCode()));
+        check(
+                "unknown key ran",
+                "not run",
+                DemoCaller.json(unknown.body()).path("error").path("run").asText());
+        check(
+                "malformed body",
+                "400",
+                Integer.toString(caller.send(port, "/v1/completions", key, "{").statusCode()));
+        processes.run("team", "withdraw-key", "--store", site.store(), grantedToDyers());
+        say("a second key was granted and withdrawn");
+        for (int index = 0; index < 2; index++) {
+            final JsonNode stats = DemoCaller.json(
+                    caller.get(site.port("decode-" + index), "/standin/stats").body());
+            check("key at decode-" + index, "0", stats.path("keys_seen").asText());
+            check(
+                    "refused for memory at decode-" + index,
+                    "0",
+                    stats.path("overcommitted").asText());
+        }
+    }
+
+    private String grantedToDyers() throws Exception {
+        return processes.run("team", "grant-key", "--store", site.store(), "dyers");
+    }
+
+    private void showStates() throws Exception {
+        for (final String name : DemoSite.INSTANCES) {
+            final JsonNode state =
+                    DemoCaller.json(processes.run("state", "--instance", "127.0.0.1:" + site.port(name + "-operator")));
+            check(
+                    name + " stage",
+                    "Ready",
+                    state.path("lifecycle").path("stage").path("kind").asText());
+            say(name + " (process " + processes.identifier(name) + "): epoch "
+                    + state.path("membership").path("agreement").path("roster").path("epoch") + ", generation "
+                    + state.path("configuration").path("inForce").path("generation") + ", budget slots held "
+                    + state.path("teamBudgets").path("budgets").size() + ", cells held "
+                    + state.path("cells").path("cells").size());
+        }
+    }
+
+    private void showShutdown(final String key) throws Exception {
+        final String prompt = "A long log of a lapping machine.";
+        final String expected = EngineText.generate(prompt, 60);
+        final String stopped = DemoSite.INSTANCES.getLast();
+        final List<CompletableFuture<HttpResponse<String>>> streams = new ArrayList<>();
+        for (int index = 0; index < STREAMS; index++) {
+            streams.add(caller.complete(site.port(stopped), key, prompt, 60, true));
+        }
+        waitFor("running streams", () -> openRequests(stopped) >= STREAMS);
+        final int code = processes.stop(stopped);
+        int whole = 0;
+        for (final CompletableFuture<HttpResponse<String>> stream : streams) {
+            whole += expected.equals(DemoCaller.streamedText(stream.get().body())) ? 1 : 0;
+        }
+        check("whole streams during shutdown", Integer.toString(STREAMS), Integer.toString(whole));
+        say(stopped + " stopped with " + code + " after " + STREAMS + " streams");
+    }
+
+    private int openRequests(final String name) throws Exception {
+        final JsonNode metrics = DemoCaller.json(
+                caller.get(site.port(name + "-operator"), "/metrics").body());
+        return metrics.path("gauges").path("requests.open").path("value").asInt();
+    }
+
+    private void check(final String what, final String expected, final String actual) {
+        final boolean right = expected.equals(actual);
+        say((right ? "right  " : "WRONG  ") + what + ": " + actual);
+        if (!right) {
+            faults.add(what);
+        }
+    }
+
+    private boolean isAnswering(final String name, final String path) throws InterruptedException {
+        try {
+            return caller.get(site.port(name), path).statusCode() == 200;
+        } catch (final IOException failure) {
+            return false;
+        }
+    }
+
+    private static void say(final String line) {
+        System.out.println(line);
+    }
+
+    private static void waitFor(final String what, final Condition condition) throws Exception {
+        for (int turn = 0; turn < WAIT_TURNS; turn++) {
+            if (condition.holds()) {
+                return;
+            }
+            Thread.sleep(WAIT_MILLISECONDS);
+        }
+        throw new IllegalStateException("waited too long for " + what);
+    }
+
+    /** Something that is waited for. */
+    private interface Condition {
+        /**
+         * Tells whether it holds.
+         *
+         * @return true if it does
+         */
+        boolean holds() throws Exception;
+    }
+}
