Script the promises as scenarios over the real decisions

Virtual time, fakes of the platform, the network, the upstreams and the callers, and a ledger that shares no code with the buckets.

--- a/src/main/java/org/lacewingstep/blackboard/RequestSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/RequestSection.java
@@ -208,6 +208,13 @@
             }
         }
 
+        /**
+         * Has room, but its debits have aged in the queue and are taken anew.
+         *
+         * @param reservation the room it holds, not null
+         */
+        record RenewingTokens(Reservation reservation) implements Phase {}
+
         /**
          * Runs at upstreams.
          *
--- a/src/main/java/org/lacewingstep/blackboard/TokenDebits.java
+++ b/src/main/java/org/lacewingstep/blackboard/TokenDebits.java
@@ -1,5 +1,7 @@
 package org.lacewingstep.blackboard;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 
 import org.lacewingstep.domain.Incarnation;
@@ -7,17 +9,29 @@
 /**
  * Debits from the slots of one team's budget.
  *
+ * @param askedAt when the first slot was asked, not null
  * @param parts the parts, not null
  */
-public record TokenDebits(List<Part> parts) {
+public record TokenDebits(Instant askedAt, List<Part> parts) {
     /** No debit. */
-    public static final TokenDebits NONE = new TokenDebits(List.of());
+    public static final TokenDebits NONE = new TokenDebits(Instant.EPOCH, List.of());
 
     /** Copies the parts. */
     public TokenDebits {
         parts = List.copyOf(parts);
     }
 
+    /**
+     * Tells whether the debits are young enough for a request to be dispatched on them.
+     *
+     * @param grantLife how old they may be, not null
+     * @param now the present time, not null
+     * @return true if they are, or if there are none
+     */
+    public boolean isFresh(final Duration grantLife, final Instant now) {
+        return parts.isEmpty() || !now.isAfter(askedAt.plus(grantLife));
+    }
+
     /**
      * Adds a part.
      *
@@ -27,7 +41,7 @@
     public TokenDebits with(final Part part) {
         final List<Part> next = new java.util.ArrayList<>(parts);
         next.add(part);
-        return new TokenDebits(next);
+        return new TokenDebits(askedAt, next);
     }
 
     /**
--- a/src/main/java/org/lacewingstep/blackboard/TokenRequestSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/TokenRequestSection.java
@@ -15,13 +15,21 @@
  *
  * @param pending the open questions by number, not null
  * @param byRequest the number of each request's open question, not null
+ * @param abandoned questions that are no longer waited for, whose late answers are given back, not null
  * @param nextQuestion the number of the next question
  */
 public record TokenRequestSection(
-        PMap<Long, Pending> pending, PMap<RequestIdentifier, Long> byRequest, long nextQuestion) implements Section {
+        PMap<Long, Pending> pending,
+        PMap<RequestIdentifier, Long> byRequest,
+        PMap<Long, Pending> abandoned,
+        long nextQuestion)
+        implements Section {
     /** The section of a process that starts. */
     public static final TokenRequestSection INITIAL =
-            new TokenRequestSection(HashTreePMap.empty(), HashTreePMap.empty(), 0);
+            new TokenRequestSection(HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), 0);
+
+    /** How many questions back an answer may be late and still be given back. */
+    private static final long ABANDONED_LIMIT = 4096;
 
     /**
      * Forgets a question.
@@ -31,7 +39,44 @@
      */
     public TokenRequestSection without(final Pending question) {
         return new TokenRequestSection(
-                pending.minus(question.question()), byRequest.minus(question.request()), nextQuestion);
+                pending.minus(question.question()), byRequest.minus(question.request()), abandoned, nextQuestion);
+    }
+
+    /**
+     * Stops to wait for an answer.
+     *
+     * @param question the question, not null
+     * @return the section, never null
+     */
+    public TokenRequestSection abandon(final Pending question) {
+        final PMap<Long, Pending> next =
+                abandoned.minus(question.question() - ABANDONED_LIMIT).plus(question.question(), question);
+        return new TokenRequestSection(
+                pending.minus(question.question()), byRequest.minus(question.request()), next, nextQuestion);
+    }
+
+    /**
+     * Forgets an abandoned question.
+     *
+     * @param question its number
+     * @return the section, never null
+     */
+    public TokenRequestSection forget(final long question) {
+        return new TokenRequestSection(pending, byRequest, abandoned.minus(question), nextQuestion);
+    }
+
+    /**
+     * Adds an open question.
+     *
+     * @param question the question, not null
+     * @return the section, never null
+     */
+    public TokenRequestSection open(final Pending question) {
+        return new TokenRequestSection(
+                pending.plus(question.question(), question),
+                byRequest.plus(question.request(), question.question()),
+                abandoned,
+                question.question() + 1);
     }
 
     /**
--- a/src/main/java/org/lacewingstep/controller/Placement.java
+++ b/src/main/java/org/lacewingstep/controller/Placement.java
@@ -7,6 +7,7 @@
 
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Instruction;
 import org.lacewingstep.blackboard.PeerMessage;
 import org.lacewingstep.blackboard.PeerMessage.PlacementVerdict;
@@ -16,6 +17,7 @@
 import org.lacewingstep.blackboard.RequestSection.Phase;
 import org.lacewingstep.blackboard.RequestSection.RequestState;
 import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.blackboard.TokenDebits;
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.CellName;
 import org.lacewingstep.domain.Incarnation;
@@ -26,6 +28,7 @@
 import org.lacewingstep.domain.Service;
 import org.lacewingstep.domain.Shard;
 import org.lacewingstep.domain.Team;
+import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.error.ErrorCode;
 import org.pcollections.HashTreePSet;
 import org.pcollections.PSet;
@@ -273,6 +276,32 @@
             withdraw(board, state, reservation.cell(), draft);
             return RequestEnding.refuse(board.requests(), state, forbidden.get(), draft);
         }
+        final boolean fresh = state.everSent()
+                || state.debits().isFresh(board.identity().policy().grantLife(), now);
+        return fresh ? dispatch(board, state, reservation, draft) : renewTokens(board, state, reservation, draft);
+    }
+
+    /** A debit that aged in the queue would let the team receive more at once than its burst, so it is taken anew. */
+    private static RequestSection renewTokens(
+            final Blackboard board, final RequestState state, final Reservation reservation, final Draft draft) {
+        final TeamName team = state.team().orElseThrow();
+        final long tokens = state.debits().tokens();
+        draft.add(new Event.TokensUnspent(team, state.debits(), tokens));
+        draft.add(new Event.TokensNeeded(state.demand().request(), team, tokens));
+        return board.requests().with(state.with(TokenDebits.NONE).in(new Phase.RenewingTokens(reservation)));
+    }
+
+    /**
+     * Lets a request run in its room.
+     *
+     * @param board the blackboard, not null
+     * @param state the request, not null
+     * @param reservation the room, not null
+     * @param draft collects what follows, not null
+     * @return the requests afterwards, never null
+     */
+    static RequestSection dispatch(
+            final Blackboard board, final RequestState state, final Reservation reservation, final Draft draft) {
         draft.add(new Effect.Instruct(state.demand().request(), new Instruction.Run(reservation)));
         return board.requests().with(state.in(new Phase.Running(reservation)));
     }
--- a/src/main/java/org/lacewingstep/controller/RequestController.java
+++ b/src/main/java/org/lacewingstep/controller/RequestController.java
@@ -45,7 +45,7 @@
             case Event.TokensGranted(RequestIdentifier request, TokenDebits debits) ->
                 draft.outcome(granted(board, request, debits, draft, now));
             case Event.TokensRefused(RequestIdentifier request, Refusal refusal) ->
-                draft.outcome(refuse(section, request, refusal, draft));
+                draft.outcome(refuse(board, request, refusal, draft));
             case Event.AttemptEnded(AttemptIdentifier attempt, AttemptResult result) ->
                 draft.outcome(AttemptOutcome.apply(board, attempt, result, draft, now));
             case Event.CallerLeft(RequestIdentifier request, long outputTokens) ->
@@ -104,19 +104,26 @@
             final Draft draft,
             final Instant now) {
         final RequestState state = board.requests().requests().get(request);
-        if (state == null || !(state.phase() instanceof Phase.AwaitingTokens)) {
+        if (state == null) {
             return board.requests();
         }
-        return Placement.begin(board, board.requests(), state.with(debits), draft, now);
+        final RequestState paid = state.with(debits);
+        return switch (state.phase()) {
+            case Phase.AwaitingTokens() -> Placement.begin(board, board.requests(), paid, draft, now);
+            case Phase.RenewingTokens(Reservation room) -> Placement.dispatch(board, paid, room, draft);
+            case Phase.AwaitingPlacement waiting -> board.requests();
+            case Phase.Running running -> board.requests();
+        };
     }
 
     private static RequestSection refuse(
-            final RequestSection section, final RequestIdentifier request, final Refusal refusal, final Draft draft) {
-        if (!section.requests().containsKey(request)) {
-            return section;
+            final Blackboard board, final RequestIdentifier request, final Refusal refusal, final Draft draft) {
+        final RequestState state = board.requests().requests().get(request);
+        if (state == null) {
+            return board.requests();
         }
-        draft.add(new Effect.Instruct(request, new Instruction.Refuse(refusal)));
-        return section.without(request);
+        RequestEnding.letGo(board, state, draft);
+        return RequestEnding.refuse(board.requests(), state, refusal, draft);
     }
 
     private static RequestSection audited(
--- a/src/main/java/org/lacewingstep/controller/RequestEnding.java
+++ b/src/main/java/org/lacewingstep/controller/RequestEnding.java
@@ -134,6 +134,10 @@
                 draft.add(new Event.TokensWithdrawn(state.demand().request()));
             case Phase.AwaitingPlacement waiting ->
                 release(board, state, waiting.cell(), Optional.empty(), false, draft);
+            case Phase.RenewingTokens(Reservation held) -> {
+                draft.add(new Event.TokensWithdrawn(state.demand().request()));
+                release(board, state, held.cell(), Optional.empty(), false, draft);
+            }
             case Phase.Running(Reservation held) -> {
                 cancel(board, held, draft);
                 release(board, state, held.cell(), Optional.empty(), false, draft);
--- a/src/main/java/org/lacewingstep/controller/RunningReservations.java
+++ b/src/main/java/org/lacewingstep/controller/RunningReservations.java
@@ -21,9 +21,7 @@
      */
     static List<Reservation> of(final RequestSection section) {
         return section.requests().values().stream()
-                .map(RequestState::phase)
-                .filter(Phase.Running.class::isInstance)
-                .map(phase -> ((Phase.Running) phase).reservation())
+                .flatMap(state -> held(state.phase()).stream())
                 .toList();
     }
 
@@ -32,13 +30,21 @@
      *
      * @param section the requests, not null
      * @param attempt the attempt, not null
-     * @return the reservation, empty if the attempt has ended or never ran
+     * @return the reservation, empty if the attempt has ended or never had room
      */
     static Optional<Reservation> find(final RequestSection section, final AttemptIdentifier attempt) {
         final RequestState state = section.requests().get(attempt.request());
-        if (state == null || !(state.phase() instanceof Phase.Running(Reservation reservation))) {
-            return Optional.empty();
-        }
-        return reservation.attempt().equals(attempt) ? Optional.of(reservation) : Optional.empty();
+        return Optional.ofNullable(state)
+                .flatMap(found -> held(found.phase()))
+                .filter(reservation -> reservation.attempt().equals(attempt));
+    }
+
+    private static Optional<Reservation> held(final Phase phase) {
+        return switch (phase) {
+            case Phase.AwaitingTokens() -> Optional.empty();
+            case Phase.AwaitingPlacement waiting -> Optional.empty();
+            case Phase.RenewingTokens(Reservation reservation) -> Optional.of(reservation);
+            case Phase.Running(Reservation reservation) -> Optional.of(reservation);
+        };
     }
 }
--- a/src/main/java/org/lacewingstep/controller/TokenRequestController.java
+++ b/src/main/java/org/lacewingstep/controller/TokenRequestController.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 
 import org.lacewingstep.blackboard.Blackboard;
@@ -69,7 +70,7 @@
                 request,
                 team,
                 tokens,
-                TokenDebits.NONE,
+                new TokenDebits(now, List.of()),
                 firstSlot(board, request),
                 Optional.empty(),
                 now,
@@ -155,10 +156,7 @@
         final Instant answerDue = now.plus(answerLimit(board, patience));
         draft.add(new Effect.StartTimer(
                 new TimerKey.TokenAnswer(pending.request(), question), answerDue.isBefore(due) ? answerDue : due));
-        return new TokenRequestSection(
-                section.pending().plus(question, asked),
-                section.byRequest().plus(pending.request(), question),
-                question + 1);
+        return section.open(asked);
     }
 
     /** A home that stays silent for a quarter of the grant's life is taken for unreachable. */
@@ -175,7 +173,7 @@
         final TokenRequestSection section = board.tokenRequests();
         final Pending pending = section.pending().get(answer.question());
         if (pending == null || !pending.home().equals(Optional.of(sender))) {
-            return section;
+            return giveBack(board, section, sender, answer, draft);
         }
         final TokenRequestSection rest = section.without(pending);
         if (answer.verdict() == TokenVerdict.GRANTED) {
@@ -187,6 +185,25 @@
         return askNext(board, rest, next, draft, now);
     }
 
+    /** Tokens that arrive after the question was abandoned are not used. */
+    private static TokenRequestSection giveBack(
+            final Blackboard board,
+            final TokenRequestSection section,
+            final Incarnation sender,
+            final PeerMessage.TokenAnswer answer,
+            final Draft draft) {
+        final Pending late = section.abandoned().get(answer.question());
+        if (late == null || !late.home().equals(Optional.of(sender))) {
+            return section;
+        }
+        if (answer.verdict() == TokenVerdict.GRANTED) {
+            final PeerMessage refund =
+                    new PeerMessage.TokenRefund(late.team(), late.slot(), answer.debit(), answer.tokens());
+            PeerReply.to(board, sender, refund).ifPresent(draft::add);
+        }
+        return section.forget(answer.question());
+    }
+
     private static Refusal exceeded(final PeerMessage.TokenAnswer answer) {
         return new Refusal(ErrorCode.RATE_EXCEEDED, "the team's token rate is used up", answer.retryAfter());
     }
@@ -215,7 +232,7 @@
             final Instant now) {
         final TokenRequestSection section = board.tokenRequests();
         final Pending pending = section.pending().get(question);
-        return pending == null ? section : askNext(board, section.without(pending), pending, draft, now);
+        return pending == null ? section : askNext(board, section.abandon(pending), pending, draft, now);
     }
 
     private static TokenRequestSection withdraw(
@@ -227,7 +244,7 @@
         }
         final Pending pending = section.pending().get(question);
         refund(board, pending.team(), pending.debits(), pending.debits().tokens(), draft);
-        return section.without(pending);
+        return section.abandon(pending);
     }
 
     private static TokenRequestSection giveUp(
--- /dev/null
+++ b/src/test/java/org/lacewingstep/scenario/FakeUpstream.java
@@ -0,0 +1,125 @@
+package org.lacewingstep.scenario;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.domain.AttemptIdentifier;
+import org.lacewingstep.domain.Incarnation;
+import org.lacewingstep.domain.LoadReport;
+import org.lacewingstep.domain.Upstream;
+
+/** An engine or plain service with limited memory, which reports its load late. */
+final class FakeUpstream {
+    private static final Duration REPORT_LAG = Duration.ofMillis(300);
+
+    private final VirtualFleet fleet;
+    private final Map<AttemptIdentifier, LoadReport.HeldMemory> running = new HashMap<>();
+    private final Upstream upstream;
+
+    private boolean cold;
+    private int coldOverloads;
+    private boolean down;
+    private int overcommits;
+    private int served;
+    private int servedSinceCold;
+    private int starts;
+    private int startsWhileLeaving;
+
+    FakeUpstream(final VirtualFleet fleet, final Upstream upstream) {
+        this.fleet = fleet;
+        this.upstream = upstream;
+    }
+
+    void cancel(final AttemptIdentifier attempt) {
+        fleet.time().after(REPORT_LAG.dividedBy(100), () -> running.remove(attempt));
+    }
+
+    int coldOverloads() {
+        return coldOverloads;
+    }
+
+    void end(final AttemptIdentifier attempt) {
+        if (running.remove(attempt) != null) {
+            served++;
+            servedSinceCold++;
+        }
+    }
+
+    boolean isDown() {
+        return down;
+    }
+
+    boolean isRunning(final AttemptIdentifier attempt) {
+        return running.containsKey(attempt);
+    }
+
+    int overcommits() {
+        return overcommits;
+    }
+
+    void report(final VirtualInstance reader) {
+        if (down) {
+            return;
+        }
+        final List<LoadReport.HeldMemory> held = new ArrayList<>(running.values());
+        final LoadReport report = new LoadReport("start-" + starts, cold && servedSinceCold == 0, held);
+        fleet.time().after(REPORT_LAG, () -> reader.deliver(new Event.LoadReported(upstream.name(), report)));
+    }
+
+    int running() {
+        return running.size();
+    }
+
+    int served() {
+        return served;
+    }
+
+    void setDown(final boolean isDown) {
+        down = isDown;
+        if (isDown) {
+            running.clear();
+        } else {
+            turnCold();
+        }
+    }
+
+    /** A cold upstream bears its floor at first and one attempt more for each that it has served. */
+    boolean start(final AttemptIdentifier attempt, final Incarnation owner, final int pieces) {
+        if (down) {
+            return false;
+        }
+        final int used = running.values().stream()
+                .mapToInt(LoadReport.HeldMemory::pieces)
+                .sum();
+        if (used + pieces > upstream.memoryPieces()) {
+            overcommits++;
+        }
+        final int bearable = fleet.policy().coldStartFloor() + servedSinceCold;
+        if (cold && running.size() >= bearable) {
+            coldOverloads++;
+        }
+        if (!fleet.platform().configuration().acceptsWork(upstream.name())) {
+            startsWhileLeaving++;
+        }
+        running.put(attempt, new LoadReport.HeldMemory(attempt, owner, pieces));
+        return true;
+    }
+
+    int startsWhileLeaving() {
+        return startsWhileLeaving;
+    }
+
+    void turnCold() {
+        starts++;
+        cold = true;
+        servedSinceCold = 0;
+    }
+
+    Upstream upstream() {
+        return upstream;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/lacewingstep/scenario/FleetSteps.java
@@ -0,0 +1,282 @@
+package org.lacewingstep.scenario;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.When;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.Policy;
+import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.domain.FailureDomain;
+import org.lacewingstep.domain.FailureDomainName;
+import org.lacewingstep.domain.InstanceName;
+import org.lacewingstep.domain.KeyDigest;
+import org.lacewingstep.domain.ServiceSelector;
+import org.lacewingstep.domain.Shard;
+import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.domain.Upstream;
+import org.lacewingstep.domain.UpstreamName;
+import org.lacewingstep.scenario.FakeCallers.Work;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** The steps of the scenarios. */
+public class FleetSteps {
+    private static final Duration SETTLING = Duration.ofSeconds(20);
+
+    private final ScenarioWorld world;
+
+    private VirtualFleet fleet;
+
+    /**
+     * Creates the steps of one scenario.
+     *
+     * @param world what the steps of the scenario share, not null
+     */
+    public FleetSteps(final ScenarioWorld world) {
+        this.world = world;
+    }
+
+    @Given("a fleet with seed {long} in failure domains {string}")
+    public void createFleet(final long seed, final String domains) {
+        fleet = new VirtualFleet(seed, List.of(domains.split(", ")), Policy.DEFAULT);
+        world.begin(fleet);
+    }
+
+    @Given("a team {string} with {long} tokens a second and a burst of {long}")
+    public void addTeam(final String name, final long rate, final long burst) {
+        fleet.addTeam(name, rate, burst);
+    }
+
+    @Given("a model service with {int} prefill and {int} decode upstreams of {int} pieces")
+    public void addModelService(final int prefills, final int decodes, final int pieces) {
+        fleet.addModelService(prefills, decodes, pieces);
+    }
+
+    @Given("a plain service with {int} upstreams whose calls may not be repeated")
+    public void addPlainService(final int count) {
+        fleet.addPlainService(count, false);
+    }
+
+    @Given("routes that are open to the teams only")
+    public void closeRoutes() {
+        fleet.closeRoutes();
+    }
+
+    @Given("the instances {string} have settled")
+    public void startInstances(final String names) {
+        fleet.applyConfiguration();
+        for (final String name : names.split(", ")) {
+            fleet.startInstance(name);
+        }
+        fleet.pass(SETTLING);
+        assertThat(fleet.living())
+                .allMatch(instance -> instance.board().membership().agreement().settled());
+    }
+
+    @When("{int} seconds pass")
+    public void pass(final int seconds) {
+        fleet.pass(Duration.ofSeconds(seconds));
+    }
+
+    @When("{int} milliseconds pass")
+    public void passMilliseconds(final int milliseconds) {
+        fleet.pass(Duration.ofMillis(milliseconds));
+    }
+
+    @When("team {string} asks {int} times a second for {long} prompt and {long} output tokens for {int} seconds")
+    public void load(final String team, final int rate, final long prompt, final long output, final int seconds) {
+        final Work work = new Work(prompt, output, Math.max(1, output / 2));
+        schedule(team, new ServiceSelector.ByModel(VirtualFleet.MODEL), rate, seconds, work);
+    }
+
+    @When("team {string} calls the plain service {int} times a second for {int} seconds")
+    public void callPlain(final String team, final int rate, final int seconds) {
+        final Work work = new Work(0, 0, 0);
+        schedule(team, new ServiceSelector.ByPath(VirtualFleet.LEDGER_PATH), rate, seconds, work);
+    }
+
+    private void schedule(
+            final String team, final ServiceSelector selector, final int rate, final int seconds, final Work work) {
+        final long gap = Duration.ofSeconds(1).toNanos() / rate;
+        for (int index = 0; index < rate * seconds; index++) {
+            final Duration jitter = Duration.ofNanos(fleet.random().nextLong(gap));
+            fleet.time().after(Duration.ofNanos(gap * index).plus(jitter), () -> {
+                final List<VirtualInstance> living = fleet.living();
+                if (!living.isEmpty()) {
+                    final VirtualInstance instance = living.get(fleet.random().nextInt(living.size()));
+                    fleet.callers().send(instance, new TeamName(team), selector, work);
+                }
+            });
+        }
+    }
+
+    @When("instance {string} is killed")
+    public void kill(final String name) {
+        fleet.kill(name);
+    }
+
+    @When("the home of a slot of team {string} is killed")
+    public void killBudgetHome(final String team) {
+        fleet.kill(budgetHome(team).name().value());
+    }
+
+    @When("the home of a slot of team {string} is paused for {int} seconds")
+    public void pauseBudgetHome(final String team, final int seconds) {
+        pauseFor(budgetHome(team), seconds);
+    }
+
+    @When("the home of a cell is paused for {int} seconds")
+    public void pauseCellHome(final int seconds) {
+        pauseFor(cellHome(), seconds);
+    }
+
+    @When("the home of a cell is killed")
+    public void killCellHome() {
+        fleet.kill(cellHome().name().value());
+    }
+
+    private void pauseFor(final VirtualInstance instance, final int seconds) {
+        instance.pause();
+        fleet.time().after(Duration.ofSeconds(seconds), instance::resume);
+    }
+
+    private VirtualInstance budgetHome(final String team) {
+        final VirtualInstance any = fleet.living().getFirst();
+        final Shard shard = new Shard.TeamShard(org.lacewingstep.domain.TeamRange.of(new TeamName(team)), 0);
+        return fleet.find(any.board().membership().home(shard).orElseThrow().incarnation());
+    }
+
+    private VirtualInstance cellHome() {
+        final VirtualInstance any = fleet.living().getFirst();
+        final Shard shard = new Shard.CellShard(
+                any.board().configuration().inForce().cells().getFirst());
+        return fleet.find(any.board().membership().home(shard).orElseThrow().incarnation());
+    }
+
+    @When("instance {string} is paused for {int} seconds")
+    public void pause(final String name, final int seconds) {
+        pauseFor(fleet.find(name), seconds);
+    }
+
+    @When("instance {string} is started")
+    public void start(final String name) {
+        fleet.startInstance(name);
+    }
+
+    @When("instance {string} is told to stop")
+    public void stop(final String name) {
+        fleet.find(name).deliver(new Event.ShutdownRequested());
+    }
+
+    @When("instance {string} is cut off from the store and the list")
+    public void cutFromPlatform(final String name) {
+        fleet.platform().cutOff(new InstanceName(name), true);
+    }
+
+    @When("instance {string} is cut off from its peers")
+    public void cutFromPeers(final String name) {
+        fleet.network().cutOff(new InstanceName(name), true);
+    }
+
+    @When("instance {string} reaches everything again")
+    public void reconnect(final String name) {
+        fleet.network().cutOff(new InstanceName(name), false);
+        fleet.platform().cutOff(new InstanceName(name), false);
+    }
+
+    @When("the store goes down")
+    public void storeDown() {
+        fleet.platform().setStoreDown(true);
+    }
+
+    @When("the store comes back")
+    public void storeUp() {
+        fleet.platform().setStoreDown(false);
+    }
+
+    @When("the instance list goes down")
+    public void listDown() {
+        fleet.platform().setListDown(true);
+    }
+
+    @When("the store loses its answers for {int} seconds")
+    public void loseAnswers(final int seconds) {
+        fleet.platform().loseAnswers(true);
+        fleet.time().after(Duration.ofSeconds(seconds), () -> fleet.platform().loseAnswers(false));
+    }
+
+    @When("one in {int} messages between instances is lost and one in {int} repeated")
+    public void disturb(final int lost, final int repeated) {
+        fleet.network().disturb(1.0 / lost, 1.0 / repeated, Duration.ofMillis(20));
+    }
+
+    @When("every decode upstream turns cold")
+    public void turnCold() {
+        decodes().forEach(FakeUpstream::turnCold);
+    }
+
+    @When("upstream {string} fails")
+    public void failUpstream(final String name) {
+        fleet.upstream(new UpstreamName(name)).setDown(true);
+    }
+
+    @When("upstream {string} recovers")
+    public void recoverUpstream(final String name) {
+        fleet.upstream(new UpstreamName(name)).setDown(false);
+    }
+
+    @When("the operator takes failure domain {string} out")
+    public void takeOut(final String name) {
+        changeDomain(name, true);
+    }
+
+    @When("the operator brings failure domain {string} back")
+    public void bringIn(final String name) {
+        changeDomain(name, false);
+    }
+
+    private void changeDomain(final String name, final boolean takenOut) {
+        final Configuration current = fleet.platform().configuration();
+        final FailureDomainName domain = new FailureDomainName(name);
+        final Map<FailureDomainName, FailureDomain> domains = new HashMap<>(current.failureDomains());
+        domains.put(domain, new FailureDomain(domain, takenOut));
+        fleet.platform()
+                .apply(new Configuration(
+                        0, domains, current.services(), current.upstreams(), current.teams(), current.keys()));
+    }
+
+    @When("the operator lets upstream {string} leave")
+    public void leave(final String name) {
+        final Configuration current = fleet.platform().configuration();
+        final Map<UpstreamName, Upstream> upstreams = new HashMap<>(current.upstreams());
+        upstreams.computeIfPresent(new UpstreamName(name), (key, upstream) -> upstream.withLeaving(true));
+        fleet.platform()
+                .apply(new Configuration(
+                        0, current.failureDomains(), current.services(), upstreams, current.teams(), current.keys()));
+    }
+
+    @When("the operator withdraws the key of team {string}")
+    public void withdraw(final String team) {
+        final Configuration current = fleet.platform().configuration();
+        final Map<KeyDigest, TeamName> keys = new HashMap<>(current.keys());
+        keys.remove(FakeCallers.keyOf(new TeamName(team)));
+        fleet.platform()
+                .apply(new Configuration(
+                        0, current.failureDomains(), current.services(), current.upstreams(), current.teams(), keys));
+    }
+
+    @When("the answers so far are set aside")
+    public void setAside() {
+        world.setAside();
+    }
+
+    private List<FakeUpstream> decodes() {
+        return fleet.upstreams().values().stream()
+                .filter(fake -> fake.upstream().name().value().startsWith("decode"))
+                .toList();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/lacewingstep/scenario/VirtualInstance.java
@@ -0,0 +1,134 @@
+package org.lacewingstep.scenario;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.Identity;
+import org.lacewingstep.blackboard.Policy;
+import org.lacewingstep.blackboard.Step;
+import org.lacewingstep.control.TimerQueue;
+import org.lacewingstep.controller.BlackboardStepper;
+import org.lacewingstep.domain.Incarnation;
+import org.lacewingstep.domain.InstanceName;
+import org.lacewingstep.domain.Member;
+
+/** One instance: the real decisions, with effects carried out by the fakes. */
+final class VirtualInstance {
+    private final VirtualFleet fleet;
+    private final Member member;
+    private final List<Event> whilePaused = new ArrayList<>();
+    private final TimerQueue timers = new TimerQueue();
+
+    private boolean alive = true;
+    private Blackboard board;
+    private boolean paused;
+
+    VirtualInstance(final VirtualFleet fleet, final Member member, final Policy policy) {
+        this.fleet = fleet;
+        this.member = member;
+        this.board = Blackboard.initial(new Identity(member, policy));
+    }
+
+    Blackboard board() {
+        return board;
+    }
+
+    void deliver(final Event event) {
+        if (!alive) {
+            return;
+        }
+        if (paused) {
+            whilePaused.add(event);
+        } else {
+            step(event);
+        }
+    }
+
+    Incarnation incarnation() {
+        return member.incarnation();
+    }
+
+    boolean isAlive() {
+        return alive;
+    }
+
+    void kill() {
+        alive = false;
+        fleet.platform().noteLiveness(incarnation(), false);
+    }
+
+    Member member() {
+        return member;
+    }
+
+    InstanceName name() {
+        return member.name();
+    }
+
+    void pause() {
+        paused = true;
+        fleet.platform().noteLiveness(incarnation(), false);
+    }
+
+    Policy policy() {
+        return board.identity().policy();
+    }
+
+    /** Timers come before the events that queued up, as on the control thread. */
+    void resume() {
+        paused = false;
+        fleet.platform().noteLiveness(incarnation(), true);
+        fireTimers();
+        final List<Event> queued = new ArrayList<>(whilePaused);
+        whilePaused.clear();
+        queued.forEach(this::deliver);
+    }
+
+    void start() {
+        fleet.platform().noteLiveness(incarnation(), true);
+        deliver(new Event.Started());
+    }
+
+    private void fireTimers() {
+        if (!alive || paused) {
+            return;
+        }
+        final Instant now = fleet.time().now();
+        for (Event due = timers.pollDue(now); due != null && alive; due = timers.pollDue(now)) {
+            step(due);
+        }
+    }
+
+    private void step(final Event event) {
+        final Step step = BlackboardStepper.step(board, event, fleet.time().now());
+        board = step.board();
+        step.effects().forEach(this::handle);
+    }
+
+    private void handle(final Effect effect) {
+        switch (effect) {
+            case Effect.StartTimer(var key, Instant due) -> {
+                timers.start(key, due);
+                fleet.time().at(due, this::fireTimers);
+            }
+            case Effect.Instruct(var request, var instruction) ->
+                fleet.callers().instructed(this, request, instruction);
+            case Effect.SendToPeer(Member receiver, var message) ->
+                fleet.network().send(this, receiver, message);
+            case Effect.ReadConfiguration(long generation) -> fleet.platform().readConfiguration(this, generation);
+            case Effect.ReadPlatform() -> fleet.platform().readPlatform(this);
+            case Effect.RenewLease(long lease) -> fleet.platform().renewLease(this, lease);
+            case Effect.WriteRoster(var roster, long revision) ->
+                fleet.platform().writeRoster(this, roster, revision);
+            case Effect.FetchLoad(var upstream) ->
+                fleet.upstream(upstream.name()).report(this);
+            case Effect.CancelAttempt(var upstream, var attempt) ->
+                fleet.upstream(upstream.name()).cancel(attempt);
+            case Effect.StopProcess() -> kill();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/resources/scenarios/engine-memory.feature
@@ -0,0 +1,47 @@
+Feature: Engine memory is never promised twice and never stays held by requests that are gone
+
+  Background:
+    Given a fleet with seed 12 in failure domains "Braga A, Braga B, Guimarães"
+    And a team "polishers" with 100000 tokens a second and a burst of 1000000
+    And a model service with 3 prefill and 5 decode upstreams of 8 pieces
+    And the instances "a, b, c, d, e, f" have settled
+
+  Scenario: More requests than memory
+    When team "polishers" asks 20 times a second for 3000 prompt and 100 output tokens for 60 seconds
+    And 260 seconds pass
+    Then no engine memory was promised twice
+    And every request has exactly one answer
+    And no engine memory is held and no room is reserved
+
+  Scenario: An instance is killed in the middle of its requests
+    When team "polishers" asks 8 times a second for 3000 prompt and 200 output tokens for 60 seconds
+    And 30 seconds pass
+    And instance "a" is killed
+    And 240 seconds pass
+    Then no engine memory was promised twice
+    And no engine memory is held and no room is reserved
+
+  Scenario: The home of a cell is killed
+    When team "polishers" asks 8 times a second for 3000 prompt and 200 output tokens for 90 seconds
+    And 30 seconds pass
+    And the home of a cell is killed
+    And 280 seconds pass
+    Then no engine memory was promised twice
+    And every request has exactly one answer
+    And no engine memory is held and no room is reserved
+
+  Scenario: The home of a cell is paused until the cell has moved, and wakes up
+    When team "polishers" asks 8 times a second for 3000 prompt and 200 output tokens for 120 seconds
+    And 30 seconds pass
+    And the home of a cell is paused for 40 seconds
+    And 300 seconds pass
+    Then no engine memory was promised twice
+    And no engine memory is held and no room is reserved
+
+  Scenario: Messages are lost and repeated
+    When one in 20 messages between instances is lost and one in 10 repeated
+    And team "polishers" asks 8 times a second for 3000 prompt and 200 output tokens for 60 seconds
+    And 300 seconds pass
+    Then no engine memory was promised twice
+    And every request has exactly one answer
+    And no engine memory is held and no room is reserved
--- /dev/null
+++ b/src/test/resources/scenarios/plain-calls.feature
@@ -0,0 +1,26 @@
+Feature: A request that may not be repeated runs at most once, and "not run" is true
+
+  Background:
+    Given a fleet with seed 16 in failure domains "Rundu, Nkurenkuru, Divundu"
+    And a team "weavers" with 1000 tokens a second and a burst of 10000
+    And a plain service with 3 upstreams whose calls may not be repeated
+    And the instances "a, b, c" have settled
+
+  Scenario: Upstreams fail and recover under load
+    When team "weavers" calls the plain service 20 times a second for 30 seconds
+    And 5 seconds pass
+    And upstream "ledger-0" fails
+    And 5 seconds pass
+    And upstream "ledger-1" fails
+    And 5 seconds pass
+    And upstream "ledger-0" recovers
+    And 160 seconds pass
+    Then no call was executed more than once and none refused as not run was executed
+    And every request has exactly one answer
+
+  Scenario: Messages between instances are lost and repeated
+    When one in 20 messages between instances is lost and one in 5 repeated
+    And team "weavers" calls the plain service 20 times a second for 30 seconds
+    And 160 seconds pass
+    Then no call was executed more than once and none refused as not run was executed
+    And every request has exactly one answer
--- /dev/null
+++ b/src/test/resources/scenarios/team-budgets.feature
@@ -0,0 +1,64 @@
+Feature: No team receives more than its rate and burst across all instances together
+
+  Background:
+    Given a fleet with seed 11 in failure domains "Rundu, Nkurenkuru, Divundu"
+    And a team "weavers" with 2000 tokens a second and a burst of 20000
+    And a team "dyers" with 1000 tokens a second and a burst of 8000
+    And a model service with 4 prefill and 9 decode upstreams of 24 pieces
+    And the instances "a, b, c, d, e, f" have settled
+
+  Scenario: A team that sends five times its rate gets its rate and no more
+    When team "weavers" asks 25 times a second for 300 prompt and 200 output tokens for 120 seconds
+    And team "dyers" asks 2 times a second for 200 prompt and 100 output tokens for 120 seconds
+    And 180 seconds pass
+    Then no team has received more than its rate and burst
+    And every request has exactly one answer
+    And at most 0.1 percent of the requests of team "dyers" were wrongfully refused
+    And at least 99 percent of the requests of team "dyers" were answered
+
+  Scenario: A home is killed
+    When team "weavers" asks 3 times a second for 300 prompt and 200 output tokens for 100 seconds
+    And 30 seconds pass
+    And the home of a slot of team "weavers" is killed
+    And 150 seconds pass
+    Then no team has received more than its rate and burst
+    And every request has exactly one answer
+    And at most 1 percent of the requests of team "weavers" were wrongfully refused
+
+  Scenario: A home is paused until its slots have moved, and wakes up
+    When team "weavers" asks 25 times a second for 300 prompt and 200 output tokens for 150 seconds
+    And 30 seconds pass
+    And the home of a slot of team "weavers" is paused for 60 seconds
+    And 200 seconds pass
+    Then no team has received more than its rate and burst
+
+  Scenario: The store is down for an hour and an instance dies meanwhile
+    When the store goes down
+    And team "weavers" asks 2 times a second for 300 prompt and 200 output tokens for 3600 seconds
+    And 1800 seconds pass
+    And instance "a" is killed
+    And 1900 seconds pass
+    Then no team has received more than its rate and burst
+    And at most 1 percent of the requests of team "weavers" were wrongfully refused
+    And at least 98 percent of the requests of team "weavers" were answered
+
+  Scenario: Messages are lost and repeated
+    When one in 20 messages between instances is lost and one in 10 repeated
+    And team "weavers" asks 25 times a second for 300 prompt and 200 output tokens for 100 seconds
+    And 200 seconds pass
+    Then no team has received more than its rate and burst
+    And every request has exactly one answer
+
+  Scenario: Instances come and go while a team sends too much
+    When team "weavers" asks 25 times a second for 300 prompt and 200 output tokens for 150 seconds
+    And 20 seconds pass
+    And instance "g" is started
+    And 20 seconds pass
+    And instance "b" is told to stop
+    And 20 seconds pass
+    And instance "c" is killed
+    And 20 seconds pass
+    And instance "c" is started
+    And 200 seconds pass
+    Then no team has received more than its rate and burst
+    And the roster lists "a, c, d, e, f, g"
