Keep a budget's other slots in place when one home dies

Cause: the homes of a range's two slots were the first two members of one ranking. When the first died the second became the first, so both slots moved and both waited for the roster to settle at once. Ruled out: lack of tokens (the living slot held 4117 of 9000) and the time to notice the death (asks went to the living slot at once). Change: failure domains are ranked per range on a list that keeps domains without members, and each serves one slot. A death moves one slot only. Conclusion: slots need candidates that do not overlap.

--- a/src/main/java/org/lacewingstep/blackboard/Policy.java
+++ b/src/main/java/org/lacewingstep/blackboard/Policy.java
@@ -15,7 +15,6 @@
  * @param settleDelay how long a new home waits after the last acknowledgement; longer than grantLife
  * @param grantLife how old the first debit of a request may be when the request is admitted
  * @param admissionPatience how long a home lets a request wait for tokens
- * @param budgetSlots into how many slots, with homes of their own, each team's budget is divided
  * @param placementTimeout how long a home may stay silent on a placement before another cell is asked
  * @param requestLimit the longest life of a request
  * @param auditInterval how long a reservation stays unconfirmed before its owner is asked
@@ -39,7 +38,6 @@
         Duration settleDelay,
         Duration grantLife,
         Duration admissionPatience,
-        int budgetSlots,
         Duration placementTimeout,
         Duration requestLimit,
         Duration auditInterval,
@@ -63,7 +61,6 @@
             Duration.ofSeconds(2),
             Duration.ofMillis(1000),
             Duration.ofMillis(500),
-            2,
             Duration.ofSeconds(1),
             Duration.ofSeconds(120),
             Duration.ofSeconds(5),
@@ -90,7 +87,6 @@
                 grantLife.compareTo(admissionPatience) > 0,
                 "grant_life",
                 "longer than admission_patience " + admissionPatience);
-        Validate.isTrue(budgetSlots > 0, "budget_slots", "more than zero");
         Validate.isTrue(coldStartFloor > 0, "cold_start_floor", "more than zero");
         Validate.isTrue(tokensPerPiece > 0, "tokens_per_piece", "more than zero");
         Validate.isTrue(queueLimit > 0, "queue_limit", "more than zero");
--- a/src/main/java/org/lacewingstep/controller/BudgetShare.java
+++ b/src/main/java/org/lacewingstep/controller/BudgetShare.java
@@ -2,6 +2,7 @@
 
 import org.lacewingstep.blackboard.Policy;
 import org.lacewingstep.domain.Team;
+import org.lacewingstep.domain.TeamRange;
 
 /**
  * What one slot of a team's budget may give.
@@ -23,8 +24,8 @@
      * @return the share, never null
      */
     static BudgetShare of(final Team team, final Policy policy) {
-        final double rate = (double) team.tokensPerSecond() / policy.budgetSlots();
-        final double burst = (double) team.burstTokens() / policy.budgetSlots();
+        final double rate = (double) team.tokensPerSecond() / TeamRange.SLOTS;
+        final double burst = (double) team.burstTokens() / TeamRange.SLOTS;
         final double delayed = rate * policy.grantLife().toMillis() / MILLISECONDS_PER_SECOND;
         return new BudgetShare(rate, Math.max(0, burst - delayed));
     }
@@ -37,6 +38,6 @@
      * @return the tokens
      */
     static long largestRequest(final Team team, final Policy policy) {
-        return (long) Math.floor(of(team, policy).capacity()) * policy.budgetSlots();
+        return (long) Math.floor(of(team, policy).capacity()) * TeamRange.SLOTS;
     }
 }
--- a/src/main/java/org/lacewingstep/controller/TeamBudgetController.java
+++ b/src/main/java/org/lacewingstep/controller/TeamBudgetController.java
@@ -19,6 +19,7 @@
 import org.lacewingstep.domain.Roster;
 import org.lacewingstep.domain.Team;
 import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.domain.TeamRange;
 import org.lacewingstep.domain.TokenBucket;
 import org.pcollections.PMap;
 import org.pcollections.TreePVector;
@@ -108,7 +109,7 @@
         PMap<SlotKey, SlotBudget> budgets = section.budgets();
         PMap<SlotKey, HandedOver> handedOver = section.handedOver();
         for (final Team team : board.configuration().inForce().teams().values()) {
-            for (int slot = 0; slot < board.identity().policy().budgetSlots(); slot++) {
+            for (int slot = 0; slot < TeamRange.SLOTS; slot++) {
                 final SlotKey key = new SlotKey(team.name(), slot);
                 if (!budgets.containsKey(key) && isHere(board, homes, key)) {
                     final BudgetShare share =
--- a/src/main/java/org/lacewingstep/controller/TokenRequestController.java
+++ b/src/main/java/org/lacewingstep/controller/TokenRequestController.java
@@ -83,7 +83,7 @@
 
     /** Requests start at different slots, so that the slots drain evenly. */
     private static int firstSlot(final Blackboard board, final RequestIdentifier request) {
-        return Math.floorMod(request.hashCode(), board.identity().policy().budgetSlots());
+        return Math.floorMod(request.hashCode(), TeamRange.SLOTS);
     }
 
     private static Refusal unreachable() {
@@ -97,7 +97,7 @@
             final Pending pending,
             final Draft draft,
             final Instant now) {
-        final int slots = board.identity().policy().budgetSlots();
+        final int slots = TeamRange.SLOTS;
         for (int offset = 0; offset < slots; offset++) {
             final int slot = (pending.slot() + offset) % slots;
             final Optional<Member> home = reachableHome(board, pending.team(), slot, now);
--- a/src/main/java/org/lacewingstep/domain/Roster.java
+++ b/src/main/java/org/lacewingstep/domain/Roster.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.domain;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -11,15 +12,17 @@
  *
  * @param epoch the number of changes so far, zero or more
  * @param members the members sorted by name, not null
+ * @param failureDomains every failure domain that a member was ever in, sorted, not null
  */
-public record Roster(long epoch, List<Member> members) {
+public record Roster(long epoch, List<Member> members, List<FailureDomainName> failureDomains) {
     /** The roster before the first member joined. */
-    public static final Roster EMPTY = new Roster(0, List.of());
+    public static final Roster EMPTY = new Roster(0, List.of(), List.of());
 
     /** Checks the epoch and sorts the members. */
     public Roster {
         Validate.notNegative(epoch, "epoch");
         members = members.stream().sorted(Comparator.comparing(Member::name)).toList();
+        failureDomains = failureDomains.stream().distinct().sorted().toList();
     }
 
     /**
@@ -52,9 +55,11 @@
         final List<Member> others = members.stream()
                 .filter(other -> !other.name().equals(member.name()))
                 .toList();
-        final List<Member> next = new java.util.ArrayList<>(others);
+        final List<Member> next = new ArrayList<>(others);
         next.add(member);
-        return new Roster(epoch + 1, next);
+        final List<FailureDomainName> domains = new ArrayList<>(failureDomains);
+        domains.add(member.failureDomain());
+        return new Roster(epoch + 1, next, domains);
     }
 
     /**
@@ -68,6 +73,7 @@
                 epoch + 1,
                 members.stream()
                         .filter(member -> !member.incarnation().equals(incarnation))
-                        .toList());
+                        .toList(),
+                failureDomains);
     }
 }
--- a/src/main/java/org/lacewingstep/domain/Shard.java
+++ b/src/main/java/org/lacewingstep/domain/Shard.java
@@ -16,18 +16,6 @@
         };
     }
 
-    /**
-     * Gets the shard's rank among the shards of one label, which have different homes where there are enough.
-     *
-     * @return zero for the first
-     */
-    default int rank() {
-        return switch (this) {
-            case TeamShard(int range, int slot) -> slot;
-            case CellShard(CellName cell) -> 0;
-        };
-    }
-
     /**
      * One slot of the token budgets of a range of teams.
      *
--- a/src/main/java/org/lacewingstep/domain/TeamRange.java
+++ b/src/main/java/org/lacewingstep/domain/TeamRange.java
@@ -7,6 +7,9 @@
     /** Number of ranges in the fleet. */
     public static final int COUNT = 1024;
 
+    /** Into how many slots, each with a home of its own, every team's budget is divided. */
+    public static final int SLOTS = 2;
+
     private TeamRange() {}
 
     /**
--- a/src/main/java/org/lacewingstep/peer/WireRecords.java
+++ b/src/main/java/org/lacewingstep/peer/WireRecords.java
@@ -61,7 +61,8 @@
         return new WireRosterCopy(
                 roster.epoch(),
                 revision,
-                roster.members().stream().map(WireRecords::member).toList());
+                roster.members().stream().map(WireRecords::member).toList(),
+                roster.failureDomains().stream().map(FailureDomainName::value).toList());
     }
 
     static AttemptIdentifier toAttempt(final WireAttempt wire) {
@@ -89,7 +90,8 @@
     static Roster toRoster(final WireRosterCopy wire) {
         return new Roster(
                 wire.getEpoch(),
-                wire.getMembers().stream().map(WireRecords::toMember).toList());
+                wire.getMembers().stream().map(WireRecords::toMember).toList(),
+                wire.getFailureDomains().stream().map(FailureDomainName::new).toList());
     }
 
     private static WireMember member(final Member member) {
--- a/src/main/java/org/lacewingstep/peer/wire/WireRosterCopy.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireRosterCopy.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField EPOCH_FIELD_DESC = new org.apache.thrift.protocol.TField("epoch", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField MEMBERS_FIELD_DESC = new org.apache.thrift.protocol.TField("members", org.apache.thrift.protocol.TType.LIST, (short)3);
+  private static final org.apache.thrift.protocol.TField FAILURE_DOMAINS_FIELD_DESC = new org.apache.thrift.protocol.TField("failureDomains", org.apache.thrift.protocol.TType.LIST, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireRosterCopyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireRosterCopyTupleSchemeFactory();
@@ -20,12 +21,14 @@
   private long epoch; // required
   private long revision; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<WireMember> members; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> failureDomains; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     EPOCH((short)1, "epoch"),
     REVISION((short)2, "revision"),
-    MEMBERS((short)3, "members");
+    MEMBERS((short)3, "members"),
+    FAILURE_DOMAINS((short)4, "failureDomains");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +50,8 @@
           return REVISION;
         case 3: // MEMBERS
           return MEMBERS;
+        case 4: // FAILURE_DOMAINS
+          return FAILURE_DOMAINS;
         default:
           return null;
       }
@@ -103,6 +108,9 @@
     tmpMap.put(_Fields.MEMBERS, new org.apache.thrift.meta_data.FieldMetaData("members", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireMember.class))));
+    tmpMap.put(_Fields.FAILURE_DOMAINS, new org.apache.thrift.meta_data.FieldMetaData("failureDomains", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireRosterCopy.class, metaDataMap);
   }
@@ -113,7 +121,8 @@
   public WireRosterCopy(
     long epoch,
     long revision,
-    java.util.List<WireMember> members)
+    java.util.List<WireMember> members,
+    java.util.List<java.lang.String> failureDomains)
   {
     this();
     this.epoch = epoch;
@@ -121,6 +130,7 @@
     this.revision = revision;
     setRevisionIsSet(true);
     this.members = members;
+    this.failureDomains = failureDomains;
   }
 
   /**
@@ -137,6 +147,10 @@
       }
       this.members = __this__members;
     }
+    if (other.isSetFailureDomains()) {
+      java.util.List<java.lang.String> __this__failureDomains = new java.util.ArrayList<java.lang.String>(other.failureDomains);
+      this.failureDomains = __this__failureDomains;
+    }
   }
 
   @Override
@@ -151,6 +165,7 @@
     setRevisionIsSet(false);
     this.revision = 0;
     this.members = null;
+    this.failureDomains = null;
   }
 
   public long getEpoch() {
@@ -240,6 +255,47 @@
     }
   }
 
+  public int getFailureDomainsSize() {
+    return (this.failureDomains == null) ? 0 : this.failureDomains.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getFailureDomainsIterator() {
+    return (this.failureDomains == null) ? null : this.failureDomains.iterator();
+  }
+
+  public void addToFailureDomains(java.lang.String elem) {
+    if (this.failureDomains == null) {
+      this.failureDomains = new java.util.ArrayList<java.lang.String>();
+    }
+    this.failureDomains.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getFailureDomains() {
+    return this.failureDomains;
+  }
+
+  public WireRosterCopy setFailureDomains(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> failureDomains) {
+    this.failureDomains = failureDomains;
+    return this;
+  }
+
+  public void unsetFailureDomains() {
+    this.failureDomains = null;
+  }
+
+  /** Returns true if field failureDomains is set (has been assigned a value) and false otherwise */
+  public boolean isSetFailureDomains() {
+    return this.failureDomains != null;
+  }
+
+  public void setFailureDomainsIsSet(boolean value) {
+    if (!value) {
+      this.failureDomains = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -267,6 +323,14 @@
       }
       break;
 
+    case FAILURE_DOMAINS:
+      if (value == null) {
+        unsetFailureDomains();
+      } else {
+        setFailureDomains((java.util.List<java.lang.String>)value);
+      }
+      break;
+
     }
   }
 
@@ -283,6 +347,9 @@
     case MEMBERS:
       return getMembers();
 
+    case FAILURE_DOMAINS:
+      return getFailureDomains();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -301,6 +368,8 @@
       return isSetRevision();
     case MEMBERS:
       return isSetMembers();
+    case FAILURE_DOMAINS:
+      return isSetFailureDomains();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -345,6 +414,15 @@
         return false;
     }
 
+    boolean this_present_failureDomains = true && this.isSetFailureDomains();
+    boolean that_present_failureDomains = true && that.isSetFailureDomains();
+    if (this_present_failureDomains || that_present_failureDomains) {
+      if (!(this_present_failureDomains && that_present_failureDomains))
+        return false;
+      if (!this.failureDomains.equals(that.failureDomains))
+        return false;
+    }
+
     return true;
   }
 
@@ -360,6 +438,10 @@
     if (isSetMembers())
       hashCode = hashCode * 8191 + members.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetFailureDomains()) ? 131071 : 524287);
+    if (isSetFailureDomains())
+      hashCode = hashCode * 8191 + failureDomains.hashCode();
+
     return hashCode;
   }
 
@@ -401,6 +483,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetFailureDomains(), other.isSetFailureDomains());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetFailureDomains()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.failureDomains, other.failureDomains);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -440,6 +532,14 @@
       sb.append(this.members);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("failureDomains:");
+    if (this.failureDomains == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.failureDomains);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -522,6 +622,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // FAILURE_DOMAINS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list43 = iprot.readListBegin();
+                struct.failureDomains = new java.util.ArrayList<java.lang.String>(_list43.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem44;
+                for (int _i45 = 0; _i45 < _list43.size; ++_i45)
+                {
+                  _elem44 = iprot.readString();
+                  struct.failureDomains.add(_elem44);
+                }
+                iprot.readListEnd();
+              }
+              struct.setFailureDomainsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -548,9 +666,21 @@
         oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.members.size()));
-          for (WireMember _iter43 : struct.members)
+          for (WireMember _iter46 : struct.members)
           {
-            _iter43.write(oprot);
+            _iter46.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.failureDomains != null) {
+        oprot.writeFieldBegin(FAILURE_DOMAINS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.failureDomains.size()));
+          for (java.lang.String _iter47 : struct.failureDomains)
+          {
+            oprot.writeString(_iter47);
           }
           oprot.writeListEnd();
         }
@@ -584,7 +714,10 @@
       if (struct.isSetMembers()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetFailureDomains()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetEpoch()) {
         oprot.writeI64(struct.epoch);
       }
@@ -594,9 +727,18 @@
       if (struct.isSetMembers()) {
         {
           oprot.writeI32(struct.members.size());
-          for (WireMember _iter44 : struct.members)
+          for (WireMember _iter48 : struct.members)
+          {
+            _iter48.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetFailureDomains()) {
+        {
+          oprot.writeI32(struct.failureDomains.size());
+          for (java.lang.String _iter49 : struct.failureDomains)
           {
-            _iter44.write(oprot);
+            oprot.writeString(_iter49);
           }
         }
       }
@@ -605,7 +747,7 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireRosterCopy struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.epoch = iprot.readI64();
         struct.setEpochIsSet(true);
@@ -616,18 +758,31 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.members = new java.util.ArrayList<WireMember>(_list45.size);
-          @org.apache.thrift.annotation.Nullable WireMember _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list50 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.members = new java.util.ArrayList<WireMember>(_list50.size);
+          @org.apache.thrift.annotation.Nullable WireMember _elem51;
+          for (int _i52 = 0; _i52 < _list50.size; ++_i52)
           {
-            _elem46 = new WireMember();
-            _elem46.read(iprot);
-            struct.members.add(_elem46);
+            _elem51 = new WireMember();
+            _elem51.read(iprot);
+            struct.members.add(_elem51);
           }
         }
         struct.setMembersIsSet(true);
       }
+      if (incoming.get(3)) {
+        {
+          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.failureDomains = new java.util.ArrayList<java.lang.String>(_list53.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem54;
+          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+          {
+            _elem54 = iprot.readString();
+            struct.failureDomains.add(_elem54);
+          }
+        }
+        struct.setFailureDomainsIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/lacewingstep/settings/PolicySettings.java
+++ b/src/main/java/org/lacewingstep/settings/PolicySettings.java
@@ -16,7 +16,6 @@
             "settle_delay",
             "grant_life",
             "admission_patience",
-            "budget_slots",
             "placement_timeout",
             "request_limit",
             "audit_interval",
@@ -30,7 +29,6 @@
             "queue_limit",
             "requests_limit",
             "maximum_tokens");
-    private static final int MOST_SLOTS = 8;
 
     private PolicySettings() {}
 
@@ -53,7 +51,6 @@
                     table.duration("settle_delay", usual.settleDelay()),
                     table.duration("grant_life", usual.grantLife()),
                     table.duration("admission_patience", usual.admissionPatience()),
-                    (int) table.number("budget_slots", 1, MOST_SLOTS, usual.budgetSlots()),
                     table.duration("placement_timeout", usual.placementTimeout()),
                     table.duration("request_limit", usual.requestLimit()),
                     table.duration("audit_interval", usual.auditInterval()),
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -117,6 +117,7 @@
   1: i64 epoch
   2: i64 revision
   3: list<WireMember> members
+  4: list<string> failureDomains
 }
 
 struct WireConfigurationAsk {
