--- /dev/null
+++ b/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
@@ -0,0 +1,95 @@
+package org.lacewingstep.peer;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.junit.jupiter.api.Test;
+import org.lacewingstep.blackboard.PeerMessage;
+import org.lacewingstep.domain.Access;
+import org.lacewingstep.domain.AttemptIdentifier;
+import org.lacewingstep.domain.CellName;
+import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.domain.FailureDomainName;
+import org.lacewingstep.domain.Incarnation;
+import org.lacewingstep.domain.InstanceName;
+import org.lacewingstep.domain.Member;
+import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.RequestIdentifier;
+import org.lacewingstep.domain.Reservation;
+import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.Service;
+import org.lacewingstep.domain.ServiceKind;
+import org.lacewingstep.domain.ServiceName;
+import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.domain.UpstreamName;
+import org.lacewingstep.peer.wire.WireHello;
+import org.lacewingstep.peer.wire.WireMessage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/** Tests {@link PeerCodec}. */
+class PeerCodecTest {
+    private static final AttemptIdentifier ATTEMPT = new AttemptIdentifier(new RequestIdentifier("a-1"), 2);
+    private static final CellName CELL = new CellName("pattern#0");
+    private static final Incarnation OWNER = new Incarnation(new InstanceName("a"), 7);
+    private static final Reservation RESERVATION =
+            new Reservation(ATTEMPT, OWNER, CELL, Optional.of(new UpstreamName("p")), new UpstreamName("d"), 3);
+    private static final TeamName TEAM = new TeamName("weavers");
+
+    @Test
+    void bringsEveryMessageBackUnchanged() throws TException {
+        for (final PeerMessage message : messages()) {
+            final byte[] bytes = new TSerializer(new TCompactProtocol.Factory()).serialize(PeerCodec.encode(message));
+            final WireMessage wire = new WireMessage();
+            new TDeserializer(new TCompactProtocol.Factory()).deserialize(wire, bytes);
+            assertThat(PeerCodec.decode(wire)).isEqualTo(message);
+        }
+    }
+
+    @Test
+    void coversEveryKindOfMessage() {
+        assertThat(messages().stream().map(Object::getClass).distinct().count())
+                .isEqualTo(java.util.Arrays.stream(PeerMessage.class.getPermittedSubclasses())
+                        .count());
+    }
+
+    @Test
+    void refusesAGreetingInTheMiddle() {
+        final WireMessage hello = WireMessage.hello(new WireHello("a", 1));
+        assertThatThrownBy(() -> PeerCodec.decode(hello)).hasMessageContaining("greeting");
+    }
+
+    private static List<PeerMessage> messages() {
+        final Member member = new Member(OWNER, new PeerAddress("10.0.0.1", 7000), new FailureDomainName("Rundu"));
+        final Service service =
+                new Service(new ServiceName("s"), new ServiceKind.Plain("/s", false, 1), new Access.OpenToAll());
+        final Configuration configuration =
+                new Configuration(3, Map.of(), Map.of(service.name(), service), Map.of(), Map.of(), Map.of());
+        return List.of(
+                new PeerMessage.Heartbeat(1, 2, 3, 4, 5, Optional.of(Duration.ofMillis(6))),
+                new PeerMessage.Heartbeat(1, 2, 3, 4, 5, Optional.empty()),
+                new PeerMessage.EpochAcknowledged(4, List.of(RESERVATION)),
+                new PeerMessage.TokenAsk(1, TEAM, 1, 500, true, Duration.ofMillis(20)),
+                new PeerMessage.TokenAnswer(1, PeerMessage.TokenVerdict.REFUSED, 0, 0, Duration.ofMillis(9)),
+                new PeerMessage.TokenRefund(TEAM, 0, 12, 30),
+                new PeerMessage.BudgetHandover(5, TEAM, 1, 12.5),
+                new PeerMessage.PlacementAsk(
+                        ATTEMPT, CELL, Optional.of(TEAM), 900, 2, Set.of(new UpstreamName("d")), Duration.ofSeconds(3)),
+                new PeerMessage.PlacementAnswer(ATTEMPT, PeerMessage.PlacementVerdict.GIVEN, Optional.of(RESERVATION)),
+                new PeerMessage.PlacementRelease(ATTEMPT, CELL, Optional.of(new UpstreamName("d")), false),
+                new PeerMessage.ReservationAudit(List.of(ATTEMPT)),
+                new PeerMessage.ReservationStatus(List.of(ATTEMPT), List.of()),
+                new PeerMessage.RosterAsk(),
+                new PeerMessage.RosterCopy(new Roster(2, List.of(member), List.of(member.failureDomain())), 9),
+                new PeerMessage.ConfigurationAsk(),
+                new PeerMessage.ConfigurationCopy(configuration));
+    }
+}
--- a/src/test/java/org/lacewingstep/scenario/FakeCallers.java
+++ b/src/test/java/org/lacewingstep/scenario/FakeCallers.java
@@ -142,6 +142,7 @@
         });
     }
 
+    /** An engine holds the memory of an answer that nobody reads until it is told to cancel. */
     private void decode(
             final VirtualInstance instance, final Sent sent, final Reservation room, final FakeUpstream target) {
         if (!open.containsKey(sent.request())) {
@@ -152,6 +153,9 @@
             return;
         }
         fleet.time().after(PER_TOKEN.multipliedBy(sent.work().usedTokens()), () -> {
+            if (!instance.isAlive()) {
+                return;
+            }
             final boolean served = target.isRunning(room.attempt());
             target.end(room.attempt());
             if (served) {
