Add scenarios that catch a woken home, moving slots and long prefills

The check for new work at upstreams that are out shared code with the product and could not fail; it now reads the operators' records itself.

--- a/src/test/java/org/lacewingstep/scenario/FakeUpstream.java
+++ b/src/test/java/org/lacewingstep/scenario/FakeUpstream.java
@@ -8,6 +8,7 @@
 
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.domain.AttemptIdentifier;
+import org.lacewingstep.domain.Configuration;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.LoadReport;
 import org.lacewingstep.domain.Upstream;
@@ -102,13 +103,20 @@
         if (cold && running.size() >= bearable) {
             coldOverloads++;
         }
-        if (!fleet.platform().configuration().acceptsWork(upstream.name())) {
+        if (isOut()) {
             startsWhileLeaving++;
         }
         running.put(attempt, new LoadReport.HeldMemory(attempt, owner, pieces));
         return true;
     }
 
+    private boolean isOut() {
+        final Configuration inStore = fleet.platform().configuration();
+        final Upstream stored = inStore.upstreams().get(upstream.name());
+        return stored.leaving()
+                || inStore.failureDomains().get(stored.failureDomain()).takenOut();
+    }
+
     int startsWhileLeaving() {
         return startsWhileLeaving;
     }
--- a/src/test/java/org/lacewingstep/scenario/FleetSteps.java
+++ b/src/test/java/org/lacewingstep/scenario/FleetSteps.java
@@ -99,6 +99,16 @@
         schedule(team, new ServiceSelector.ByPath(VirtualFleet.LEDGER_PATH), rate, seconds, work);
     }
 
+    @When("team {string} sends {int} requests of {long} prompt and {long} output tokens at once")
+    public void burst(final String team, final int count, final long prompt, final long output) {
+        final Work work = new Work(prompt, output, output);
+        final List<VirtualInstance> living = fleet.living();
+        for (int index = 0; index < count; index++) {
+            final VirtualInstance instance = living.get(index % living.size());
+            fleet.callers().send(instance, new TeamName(team), new ServiceSelector.ByModel(VirtualFleet.MODEL), work);
+        }
+    }
+
     private void schedule(
             final String team, final ServiceSelector selector, final int rate, final int seconds, final Work work) {
         final long gap = Duration.ofSeconds(1).toNanos() / rate;
--- a/src/test/resources/scenarios/engine-memory.feature
+++ b/src/test/resources/scenarios/engine-memory.feature
@@ -45,3 +45,26 @@
     Then no engine memory was promised twice
     And every request has exactly one answer
     And no engine memory is held and no room is reserved
+
+  Scenario: The home of a cell is killed while long prompts are in prefill
+    When team "polishers" asks 2 times a second for 25000 prompt and 200 output tokens for 90 seconds
+    And 30 seconds pass
+    And the home of a cell is killed
+    And 280 seconds pass
+    Then no engine memory was promised twice
+    And every request has exactly one answer
+    And no engine memory is held and no room is reserved
+
+  Scenario: Instances join and stop while long prompts are in prefill
+    When team "polishers" asks 2 times a second for 25000 prompt and 200 output tokens for 120 seconds
+    And 30 seconds pass
+    And instance "g" is started
+    And instance "h" is started
+    And 20 seconds pass
+    And instance "a" is told to stop
+    And 10 seconds pass
+    And instance "b" is told to stop
+    And 280 seconds pass
+    Then no engine memory was promised twice
+    And every request has exactly one answer
+    And no engine memory is held and no room is reserved
--- a/src/test/resources/scenarios/team-budgets.feature
+++ b/src/test/resources/scenarios/team-budgets.feature
@@ -32,6 +32,32 @@
     And 200 seconds pass
     Then no team has received more than its rate and burst
 
+  Scenario: A home that was paused wakes up and is asked at once
+    When the home of a slot of team "weavers" is paused for 60 seconds
+    And 59 seconds pass
+    And team "weavers" sends 600 requests of 50 prompt and 50 output tokens at once
+    And 120 seconds pass
+    Then no team has received more than its rate and burst
+
+  Scenario: A home is cut off from everything but its callers
+    When instance "b" is cut off from the store and the list
+    And instance "b" is cut off from its peers
+    And 40 seconds pass
+    And team "weavers" sends 600 requests of 50 prompt and 50 output tokens at once
+    And 120 seconds pass
+    Then no team has received more than its rate and burst
+
+  Scenario: Slots move while their team is idle
+    When instance "g" is started
+    And 15 seconds pass
+    And instance "a" is told to stop
+    And 3 seconds pass
+    And team "weavers" sends 600 requests of 50 prompt and 50 output tokens at once
+    And 4 seconds pass
+    And team "weavers" sends 600 requests of 50 prompt and 50 output tokens at once
+    And 120 seconds pass
+    Then no team has received more than its rate and burst
+
   Scenario: The store is down for an hour and an instance dies meanwhile
     When the store goes down
     And team "weavers" asks 2 times a second for 300 prompt and 200 output tokens for 3600 seconds
