--- a/src/test/java/org/lacewingstep/scenario/OutcomeSteps.java
+++ b/src/test/java/org/lacewingstep/scenario/OutcomeSteps.java
@@ -27,6 +27,11 @@
                 .isLessThanOrEqualTo(0));
     }
 
+    @Then("no two instances held the same budget")
+    public void checkHolders() {
+        assertThat(world.fleet().watch().conflicts()).isEmpty();
+    }
+
     @Then("no engine memory was promised twice")
     public void checkMemory() {
         world.fleet().upstreams().values().forEach(upstream -> assertThat(upstream.overcommits())
@@ -78,6 +83,15 @@
         assertThat(count(team, Kind.NOT_RUN)).isEqualTo(since(team));
     }
 
+    @Then("every request of team {string} was refused with {string}")
+    public void checkRefusedWith(final String team, final String code) {
+        assertThat(world.recent())
+                .filteredOn(answer -> answer.team().equals(new TeamName(team)))
+                .isNotEmpty()
+                .allMatch(answer -> answer.kind() == Kind.NOT_RUN
+                        && answer.code().orElseThrow().name().equals(code));
+    }
+
     @Then("every request has exactly one answer")
     public void checkOneAnswer() {
         assertThat(world.fleet().callers().openRequests())
--- a/src/test/java/org/lacewingstep/scenario/VirtualFleet.java
+++ b/src/test/java/org/lacewingstep/scenario/VirtualFleet.java
@@ -49,6 +49,7 @@
     private final Map<ServiceName, Service> services = new HashMap<>();
     private final Map<TeamName, Team> teams = new HashMap<>();
     private final VirtualTime time = new VirtualTime();
+    private final HolderWatch watch = new HolderWatch();
     private final Map<UpstreamName, FakeUpstream> upstreams = new LinkedHashMap<>();
 
     private long incarnations = 1;
@@ -145,9 +146,14 @@
     }
 
     void kill(final String name) {
-        final VirtualInstance instance = find(name);
-        instance.kill();
-        callers.loseInstance(instance);
+        kill(find(name));
+    }
+
+    void kill(final VirtualInstance instance) {
+        if (instance.isAlive()) {
+            instance.kill();
+            callers.loseInstance(instance);
+        }
     }
 
     FakeCallers callers() {
@@ -208,6 +214,10 @@
         return upstreams;
     }
 
+    HolderWatch watch() {
+        return watch;
+    }
+
     void pass(final Duration duration) {
         time.pass(duration);
     }
--- a/src/test/java/org/lacewingstep/scenario/VirtualInstance.java
+++ b/src/test/java/org/lacewingstep/scenario/VirtualInstance.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.scenario;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +19,9 @@
 
 /** One instance: the real decisions, with effects carried out by the fakes. */
 final class VirtualInstance {
+    /** How long a process that may exit still answers what has queued up. */
+    private static final Duration LAST_ANSWERS = Duration.ofSeconds(1);
+
     private final VirtualFleet fleet;
     private final Member member;
     private final List<Event> whilePaused = new ArrayList<>();
@@ -56,6 +60,10 @@
         return alive;
     }
 
+    boolean isRunning() {
+        return alive && !paused;
+    }
+
     void kill() {
         alive = false;
         fleet.platform().noteLiveness(incarnation(), false);
@@ -107,6 +115,7 @@
         final Step step = BlackboardStepper.step(board, event, fleet.time().now());
         board = step.board();
         step.effects().forEach(this::handle);
+        fleet.watch().look(fleet);
     }
 
     private void handle(final Effect effect) {
@@ -128,7 +137,7 @@
                 fleet.upstream(upstream.name()).report(this);
             case Effect.CancelAttempt(var upstream, var attempt) ->
                 fleet.upstream(upstream.name()).cancel(attempt);
-            case Effect.StopProcess() -> kill();
+            case Effect.StopProcess() -> fleet.time().after(LAST_ANSWERS, () -> fleet.kill(this));
         }
     }
 }
--- a/src/test/resources/scenarios/configuration.feature
+++ b/src/test/resources/scenarios/configuration.feature
@@ -12,7 +12,7 @@
     And 3 seconds pass
     And team "weavers" asks 5 times a second for 100 prompt and 50 output tokens for 10 seconds
     And 20 seconds pass
-    Then no request of team "weavers" was run
+    Then every request of team "weavers" was refused with "KEY_UNKNOWN"
     And the configuration of every instance is the one in the store
 
   Scenario: An instance that lost the store learns of a withdrawal from its peers
@@ -32,7 +32,7 @@
     And the answers so far are set aside
     And team "weavers" asks 5 times a second for 100 prompt and 50 output tokens for 10 seconds
     And 20 seconds pass
-    Then no request of team "weavers" was run
+    Then every request of team "weavers" was refused with "NOT_READY"
 
   Scenario: A change made while answers of the store are lost
     When the store loses its answers for 20 seconds
--- a/src/test/resources/scenarios/engine-memory.feature
+++ b/src/test/resources/scenarios/engine-memory.feature
@@ -10,6 +10,7 @@
     When team "polishers" asks 20 times a second for 3000 prompt and 100 output tokens for 60 seconds
     And 260 seconds pass
     Then no engine memory was promised twice
+    And no two instances held the same budget
     And every request has exactly one answer
     And no engine memory is held and no room is reserved
 
@@ -19,6 +20,7 @@
     And instance "a" is killed
     And 240 seconds pass
     Then no engine memory was promised twice
+    And no two instances held the same budget
     And no engine memory is held and no room is reserved
 
   Scenario: The home of a cell is killed
@@ -27,6 +29,7 @@
     And the home of a cell is killed
     And 280 seconds pass
     Then no engine memory was promised twice
+    And no two instances held the same budget
     And every request has exactly one answer
     And no engine memory is held and no room is reserved
 
@@ -36,6 +39,7 @@
     And the home of a cell is paused for 40 seconds
     And 300 seconds pass
     Then no engine memory was promised twice
+    And no two instances held the same budget
     And no engine memory is held and no room is reserved
 
   Scenario: Messages are lost and repeated
@@ -43,6 +47,7 @@
     And team "polishers" asks 8 times a second for 3000 prompt and 200 output tokens for 60 seconds
     And 300 seconds pass
     Then no engine memory was promised twice
+    And no two instances held the same budget
     And every request has exactly one answer
     And no engine memory is held and no room is reserved
 
@@ -52,6 +57,7 @@
     And the home of a cell is killed
     And 280 seconds pass
     Then no engine memory was promised twice
+    And no two instances held the same budget
     And every request has exactly one answer
     And no engine memory is held and no room is reserved
 
@@ -66,5 +72,6 @@
     And instance "b" is told to stop
     And 280 seconds pass
     Then no engine memory was promised twice
+    And no two instances held the same budget
     And every request has exactly one answer
     And no engine memory is held and no room is reserved
--- a/src/test/resources/scenarios/team-budgets.feature
+++ b/src/test/resources/scenarios/team-budgets.feature
@@ -12,6 +12,7 @@
     And team "dyers" asks 2 times a second for 200 prompt and 100 output tokens for 120 seconds
     And 180 seconds pass
     Then no team has received more than its rate and burst
+    And no two instances held the same budget
     And every request has exactly one answer
     And at most 0.1 percent of the requests of team "dyers" were wrongfully refused
     And at least 99 percent of the requests of team "dyers" were answered
@@ -22,6 +23,7 @@
     And the home of a slot of team "weavers" is killed
     And 150 seconds pass
     Then no team has received more than its rate and burst
+    And no two instances held the same budget
     And every request has exactly one answer
     And at most 1 percent of the requests of team "weavers" were wrongfully refused
 
@@ -31,6 +33,7 @@
     And the home of a slot of team "weavers" is paused for 60 seconds
     And 200 seconds pass
     Then no team has received more than its rate and burst
+    And no two instances held the same budget
 
   Scenario: A home that was paused wakes up and is asked at once
     When the home of a slot of team "weavers" is paused for 60 seconds
@@ -38,6 +41,7 @@
     And team "weavers" sends 600 requests of 50 prompt and 50 output tokens at once
     And 120 seconds pass
     Then no team has received more than its rate and burst
+    And no two instances held the same budget
 
   Scenario: A home is cut off from everything but its callers
     When instance "b" is cut off from the store and the list
@@ -46,6 +50,7 @@
     And team "weavers" sends 600 requests of 50 prompt and 50 output tokens at once
     And 120 seconds pass
     Then no team has received more than its rate and burst
+    And no two instances held the same budget
 
   Scenario: Slots move while their team is idle
     When instance "g" is started
@@ -57,6 +62,7 @@
     And team "weavers" sends 600 requests of 50 prompt and 50 output tokens at once
     And 120 seconds pass
     Then no team has received more than its rate and burst
+    And no two instances held the same budget
 
   Scenario: The store is down for an hour and an instance dies meanwhile
     When the store goes down
@@ -65,6 +71,7 @@
     And instance "a" is killed
     And 1900 seconds pass
     Then no team has received more than its rate and burst
+    And no two instances held the same budget
     And at most 1 percent of the requests of team "weavers" were wrongfully refused
     And at least 98 percent of the requests of team "weavers" were answered
 
@@ -73,6 +80,7 @@
     And team "weavers" asks 25 times a second for 300 prompt and 200 output tokens for 100 seconds
     And 200 seconds pass
     Then no team has received more than its rate and burst
+    And no two instances held the same budget
     And every request has exactly one answer
 
   Scenario: Instances come and go while a team sends too much
@@ -87,4 +95,5 @@
     And instance "c" is started
     And 200 seconds pass
     Then no team has received more than its rate and burst
+    And no two instances held the same budget
     And the roster lists "a, c, d, e, f, g"
