Ask all slots at once for requests that are large beside a slot

Cause: a request went to one slot, and the slots drained unevenly by whole requests, so that one slot overflowed while the other was empty. Conclusion: the slots have to drain by tokens, not by requests.

--- a/src/main/java/org/lacewingstep/blackboard/TokenRequestSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/TokenRequestSection.java
@@ -1,7 +1,6 @@
 package org.lacewingstep.blackboard;
 
 import java.time.Instant;
-import java.util.Optional;
 
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.RequestIdentifier;
@@ -13,15 +12,15 @@
 /**
  * What this process has asked of the homes of team budgets.
  *
- * @param pending the open questions by number, not null
- * @param byRequest the number of each request's open question, not null
+ * @param searches the search for tokens of each request, not null
+ * @param questions the open questions by number, not null
  * @param abandoned questions that are no longer waited for, whose late answers are given back, not null
  * @param nextQuestion the number of the next question
  */
 public record TokenRequestSection(
-        PMap<Long, Pending> pending,
-        PMap<RequestIdentifier, Long> byRequest,
-        PMap<Long, Pending> abandoned,
+        PMap<RequestIdentifier, Search> searches,
+        PMap<Long, Question> questions,
+        PMap<Long, Question> abandoned,
         long nextQuestion)
         implements Section {
     /** The section of a process that starts. */
@@ -32,37 +31,37 @@
     private static final long ABANDONED_LIMIT = 4096;
 
     /**
-     * Forgets a question.
+     * Stops to wait for an answer.
      *
      * @param question the question, not null
-     * @return the section without it, never null
+     * @return the section, never null
      */
-    public TokenRequestSection without(final Pending question) {
-        return new TokenRequestSection(
-                pending.minus(question.question()), byRequest.minus(question.request()), abandoned, nextQuestion);
+    public TokenRequestSection abandon(final Question question) {
+        final PMap<Long, Question> next =
+                abandoned.minus(question.number() - ABANDONED_LIMIT).plus(question.number(), question);
+        return new TokenRequestSection(searches, questions.minus(question.number()), next, nextQuestion);
     }
 
     /**
-     * Stops to wait for an answer.
+     * Notes that a question was answered.
      *
-     * @param question the question, not null
+     * @param number the question's number
      * @return the section, never null
      */
-    public TokenRequestSection abandon(final Pending question) {
-        final PMap<Long, Pending> next =
-                abandoned.minus(question.question() - ABANDONED_LIMIT).plus(question.question(), question);
-        return new TokenRequestSection(
-                pending.minus(question.question()), byRequest.minus(question.request()), next, nextQuestion);
+    public TokenRequestSection answered(final long number) {
+        return new TokenRequestSection(searches, questions.minus(number), abandoned.minus(number), nextQuestion);
     }
 
     /**
-     * Forgets an abandoned question.
+     * Counts the open questions of a request.
      *
-     * @param question its number
-     * @return the section, never null
+     * @param request the request, not null
+     * @return the number
      */
-    public TokenRequestSection forget(final long question) {
-        return new TokenRequestSection(pending, byRequest, abandoned.minus(question), nextQuestion);
+    public long openQuestions(final RequestIdentifier request) {
+        return questions.values().stream()
+                .filter(question -> question.request().equals(request))
+                .count();
     }
 
     /**
@@ -71,89 +70,113 @@
      * @param question the question, not null
      * @return the section, never null
      */
-    public TokenRequestSection open(final Pending question) {
+    public TokenRequestSection open(final Question question) {
         return new TokenRequestSection(
-                pending.plus(question.question(), question),
-                byRequest.plus(question.request(), question.question()),
-                abandoned,
-                question.question() + 1);
+                searches, questions.plus(question.number(), question), abandoned, question.number() + 1);
+    }
+
+    /**
+     * Replaces the search of a request.
+     *
+     * @param search the search, not null
+     * @return the section, never null
+     */
+    public TokenRequestSection with(final Search search) {
+        return new TokenRequestSection(searches.plus(search.request(), search), questions, abandoned, nextQuestion);
+    }
+
+    /**
+     * Ends the search of a request.
+     *
+     * @param request the request, not null
+     * @return the section, never null
+     */
+    public TokenRequestSection without(final RequestIdentifier request) {
+        return new TokenRequestSection(searches.minus(request), questions, abandoned, nextQuestion);
     }
 
     /**
      * An open question.
      *
-     * @param question its number, unique in this process
+     * @param number its number, unique in this process
      * @param request the request, not null
      * @param team the team, not null
-     * @param missing tokens still needed
+     * @param slot the slot asked
+     * @param home the process asked, not null
+     * @param tokens the tokens asked for
+     */
+    public record Question(
+            long number, RequestIdentifier request, TeamName team, int slot, Incarnation home, long tokens) {}
+
+    /**
+     * The search for the tokens of one request.
+     *
+     * @param request the request, not null
+     * @param team the team, not null
+     * @param tokens the tokens needed
      * @param debits what the slots have given, not null
-     * @param slot the slot asked, or the first one to ask
-     * @param home the process asked, empty before the first question
-     * @param startedAt when the first slot was asked, not null
-     * @param triedSlots the slots asked so far, not null
-     * @param answeredSlot the slot that answered last, empty if none has
+     * @param tried the slots asked so far, not null
+     * @param exhausted the slots that gave less than they were asked for, not null
      * @param waited whether a slot was asked to let the question wait
-     * @param refusal the most telling refusal so far, not null
+     * @param refusal why tokens are missing, not null
      */
-    public record Pending(
-            long question,
+    public record Search(
             RequestIdentifier request,
             TeamName team,
-            long missing,
+            long tokens,
             TokenDebits debits,
-            int slot,
-            Optional<Incarnation> home,
-            Instant startedAt,
-            PSet<Integer> triedSlots,
-            Optional<Integer> answeredSlot,
+            PSet<Integer> tried,
+            PSet<Integer> exhausted,
             boolean waited,
             Refusal refusal) {
+        /**
+         * Counts the tokens still needed.
+         *
+         * @return the tokens
+         */
+        public long missing() {
+            return tokens - debits.tokens();
+        }
+
+        /**
+         * Gets when the first slot was asked.
+         *
+         * @return the time, never null
+         */
+        public Instant startedAt() {
+            return debits.askedAt();
+        }
+
         /**
          * Notes that a slot is asked.
          *
-         * @param number the question's number
-         * @param asked the slot
-         * @param process the home, not null
+         * @param slot the slot
          * @param patient whether the question may wait there
-         * @return the question, never null
+         * @return the search, never null
+         */
+        public Search ask(final int slot, final boolean patient) {
+            return new Search(request, team, tokens, debits, tried.plus(slot), exhausted, waited || patient, refusal);
+        }
+
+        /**
+         * Notes that a slot has no more to give.
+         *
+         * @param slot the slot
+         * @param reason why, not null
+         * @return the search, never null
          */
-        public Pending ask(final long number, final int asked, final Incarnation process, final boolean patient) {
-            return new Pending(
-                    number,
-                    request,
-                    team,
-                    missing,
-                    debits,
-                    asked,
-                    Optional.of(process),
-                    startedAt,
-                    triedSlots.plus(asked),
-                    answeredSlot,
-                    waited || patient,
-                    refusal);
+        public Search exhaust(final int slot, final Refusal reason) {
+            return new Search(request, team, tokens, debits, tried, exhausted.plus(slot), waited, reason);
         }
 
         /**
-         * Notes an answer of the slot asked.
+         * Notes tokens given.
          *
-         * @param given the debits so far, not null
-         * @param reason why the rest was not given, not null
-         * @return the question, never null
+         * @param part the debit, not null
+         * @return the search, never null
          */
-        public Pending answered(final TokenDebits given, final Refusal reason) {
-            return new Pending(
-                    question,
-                    request,
-                    team,
-                    missing + debits.tokens() - given.tokens(),
-                    given,
-                    slot,
-                    home,
-                    startedAt,
-                    triedSlots,
-                    Optional.of(slot),
-                    waited,
-                    reason);
+        public Search give(final TokenDebits.Part part) {
+            return new Search(request, team, tokens, debits.with(part), tried, exhausted, waited, refusal);
         }
     }
 }
