--- a/src/main/java/org/lacewingstep/controller/OrphanSweep.java
+++ b/src/main/java/org/lacewingstep/controller/OrphanSweep.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CellSection.CellState;
@@ -63,14 +65,14 @@
             final UpstreamName upstream,
             final LoadReport report,
             final Instant now) {
+        final Set<AttemptIdentifier> shown =
+                report.held().stream().map(LoadReport.HeldMemory::attempt).collect(Collectors.toSet());
         CellState next = state;
         for (final Map.Entry<AttemptIdentifier, Held> entry :
                 state.reservations().entrySet()) {
             final Held held = entry.getValue();
             final boolean here = held.reservation().target().equals(upstream);
-            final boolean shown =
-                    report.held().stream().anyMatch(memory -> memory.attempt().equals(entry.getKey()));
-            if (here && !shown && isOver(board, held, now)) {
+            if (here && !shown.contains(entry.getKey()) && isOver(board, held, now)) {
                 next = next.release(entry.getKey(), now);
             }
         }
--- a/src/standin/java/org/lacewingstep/standin/Demo.java
+++ b/src/standin/java/org/lacewingstep/standin/Demo.java
@@ -1,6 +1,5 @@
 package org.lacewingstep.standin;
 
-import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -12,13 +11,11 @@
 /** Starts stand-ins and two entry instances as processes, sends real requests and checks every answer. */
 public final class Demo {
     private static final int STREAMS = 20;
-    private static final int WAIT_MILLISECONDS = 100;
-    private static final int WAIT_TURNS = 600;
 
     private final DemoCaller caller = new DemoCaller();
     private final List<String> faults = new ArrayList<>();
     private final DemoProcesses processes;
-    private final DemoSite site = new DemoSite();
+    private final DemoSite site = new DemoSite(DemoSite.Shape.DEMO);
 
     private Demo(final DemoProcesses processes) {
         this.processes = processes;
@@ -41,7 +38,7 @@
     }
 
     private void run() throws Exception {
-        final String key = startSite();
+        final String key = new SiteStart(processes, site, caller).run();
         showCompletions(key);
         showFaults(key);
         showPlainCalls(key);
@@ -50,29 +47,6 @@
         showShutdown(key);
     }
 
-    private String startSite() throws Exception {
-        site.startStandIns(processes);
-        waitFor("store", () -> isAnswering("store", "/standin/calls"));
-        final Path inventory = site.writeInventory(processes.folder());
-        final Path rules = site.writeRules(processes.folder());
-        say(processes.run(
-                "apply", "--store", site.store(), "--inventory", inventory.toString(), "--rules", rules.toString()));
-        final String key = processes.run("team", "grant-key", "--store", site.store(), "weavers");
-        for (final String name : DemoSite.INSTANCES) {
-            processes.startInstance(name, site.writeSettings(processes.folder(), name));
-        }
-        for (final String name : DemoSite.INSTANCES) {
-            waitFor(name, () -> isAnswering(name + "-operator", "/ready"));
-        }
-        waitFor("a first answer", () -> answered(key));
-        return key;
-    }
-
-    private boolean answered(final String key) throws Exception {
-        final int port = site.port(DemoSite.INSTANCES.getFirst());
-        return caller.complete(port, key, "warm", 1, false).get().statusCode() == 200;
-    }
-
     private void showCompletions(final String key) throws Exception {
         final String prompt = "Describe a basket of two colours.";
         final String expected = EngineText.generate(prompt, 12);
@@ -177,7 +151,7 @@
         for (int index = 0; index < STREAMS; index++) {
             streams.add(caller.complete(site.port(stopped), key, prompt, 60, true));
         }
-        waitFor("running streams", () -> openRequests(stopped) >= STREAMS);
+        SiteStart.waitFor("running streams", () -> openRequests(stopped) >= STREAMS);
         final int code = processes.stop(stopped);
         int whole = 0;
         for (final CompletableFuture<HttpResponse<String>> stream : streams) {
@@ -201,35 +175,7 @@
         }
     }
 
-    private boolean isAnswering(final String name, final String path) throws InterruptedException {
-        try {
-            return caller.get(site.port(name), path).statusCode() == 200;
-        } catch (final IOException failure) {
-            return false;
-        }
-    }
-
     private static void say(final String line) {
         System.out.println(line);
     }
-
-    private static void waitFor(final String what, final Condition condition) throws Exception {
-        for (int turn = 0; turn < WAIT_TURNS; turn++) {
-            if (condition.holds()) {
-                return;
-            }
-            Thread.sleep(WAIT_MILLISECONDS);
-        }
-        throw new IllegalStateException("waited too long for " + what);
-    }
-
-    /** Something that is waited for. */
-    private interface Condition {
-        /**
-         * Tells whether it holds.
-         *
-         * @return true if it does
-         */
-        boolean holds() throws Exception;
-    }
 }
--- a/src/standin/java/org/lacewingstep/standin/DemoSite.java
+++ b/src/standin/java/org/lacewingstep/standin/DemoSite.java
@@ -31,10 +31,23 @@
             format = "json"
 
             [limits]
-            upstream_silence = "3s"
+            upstream_silence = "%s"
+
+            [policy]
+            cold_start_floor = %d
             """;
 
     private final Map<String, Integer> ports = new LinkedHashMap<>();
+    private final Shape shape;
+
+    /**
+     * Creates a site.
+     *
+     * @param shape its sizes, not null
+     */
+    DemoSite(final Shape shape) {
+        this.shape = shape;
+    }
 
     /**
      * Gets the port of a process or of one of its servers.
@@ -71,7 +84,13 @@
     }
 
     private void startEngine(final DemoProcesses processes, final String name) throws IOException {
-        processes.startStandIn(name, "engine", Integer.toString(port(name)), "24", "40", "15");
+        processes.startStandIn(
+                name,
+                "engine",
+                Integer.toString(port(name)),
+                Integer.toString(shape.memoryPieces()),
+                Integer.toString(shape.prefillMilliseconds()),
+                Integer.toString(shape.tokenMilliseconds()));
     }
 
     /** Writes the settings of an instance. */
@@ -84,7 +103,9 @@
                 port(name + "-operator"),
                 port(name + "-peer"),
                 store(),
-                "http://127.0.0.1:" + port("list") + "/instances");
+                "http://127.0.0.1:" + port("list") + "/instances",
+                shape.upstreamSilence(),
+                shape.coldStartFloor());
         return Files.writeString(folder.resolve(name + ".toml"), text);
     }
 
@@ -92,7 +113,8 @@
     Path writeInventory(final Path folder) throws IOException {
         final StringBuilder text = new StringBuilder();
         DOMAINS.forEach(domain -> text.append("[[failure_domain]]\nname = \"%s\"\n".formatted(domain)));
-        text.append("[[team]]\nname = \"weavers\"\ntokens_per_second = 2000\nburst_tokens = 20000\n");
+        text.append("[[team]]\nname = \"weavers\"\ntokens_per_second = %d\nburst_tokens = %d\n"
+                .formatted(shape.tokensPerSecond(), shape.burstTokens()));
         text.append("[[team]]\nname = \"dyers\"\ntokens_per_second = 500\nburst_tokens = 4000\n");
         text.append("[[service]]\nname = \"pattern\"\nmodel = \"pattern-7b\"\n");
         text.append("[[service]]\nname = \"ledger\"\npath = \"/ledger\"\n");
@@ -112,9 +134,9 @@
                 role = "%s"
                 address = "127.0.0.1:%d"
                 failure_domain = "%s"
-                memory_pieces = 24
+                memory_pieces = %d
                 """
-                .formatted(name, service, role, port(name), DOMAINS.get(index));
+                .formatted(name, service, role, port(name), DOMAINS.get(index), shape.memoryPieces());
     }
 
     /** Writes the rules. */
@@ -131,4 +153,27 @@
                 teams = ["weavers"]
                 """);
     }
+
+    /**
+     * Sizes of a site.
+     *
+     * @param memoryPieces pieces of memory of each engine
+     * @param prefillMilliseconds time for a prompt in milliseconds
+     * @param tokenMilliseconds time between tokens in milliseconds
+     * @param tokensPerSecond rate of the first team
+     * @param burstTokens burst of the first team
+     * @param coldStartFloor attempts that a cold engine gets at first
+     * @param upstreamSilence how long an upstream may send nothing, not null
+     */
+    record Shape(
+            int memoryPieces,
+            int prefillMilliseconds,
+            int tokenMilliseconds,
+            long tokensPerSecond,
+            long burstTokens,
+            int coldStartFloor,
+            String upstreamSilence) {
+        /** The site of the demonstration. */
+        static final Shape DEMO = new Shape(24, 40, 15, 2000, 20_000, 2, "3s");
+    }
 }
--- a/src/standin/java/org/lacewingstep/standin/EngineStandIn.java
+++ b/src/standin/java/org/lacewingstep/standin/EngineStandIn.java
@@ -35,6 +35,7 @@
     private final long prefillMilliseconds;
     private final Map<String, Generation> running = new ConcurrentHashMap<>();
     private final AtomicLong seed = new AtomicLong();
+    private final ArrayNode starts = MAPPER.createArrayNode();
     private final long tokenMilliseconds;
 
     private volatile boolean cold;
@@ -60,6 +61,7 @@
                 .get("v1/requests/:id/stream", this::resume)
                 .get("load", this::load)
                 .get("standin/stats", this::stats)
+                .get("standin/log", context -> context.getResponse().send("application/json", starts.toString()))
                 .post("standin/fault/:kind/:tokens", context -> {
                     faults.add(EngineFault.of(
                             context.getPathTokens().get("kind"),
@@ -121,6 +123,13 @@
             return;
         }
         running.put(generation.identifier(), generation);
+        synchronized (starts) {
+            starts.addObject()
+                    .put("request", generation.identifier())
+                    .put("at", System.currentTimeMillis())
+                    .put("prompt", prompt)
+                    .put("max_tokens", limit);
+        }
         tick(context, generation);
         stream(context, generation, 0);
     }
--- a/src/test/java/org/lacewingstep/scenario/FleetSteps.java
+++ b/src/test/java/org/lacewingstep/scenario/FleetSteps.java
@@ -51,6 +51,18 @@
         fleet.addTeam(name, rate, burst);
     }
 
+    @Given("{int} small teams")
+    public void addSmallTeams(final int count) {
+        for (int index = 0; index < count; index++) {
+            fleet.addTeam("small-" + index, 100, 1000);
+        }
+    }
+
+    @When("the configuration is applied again")
+    public void applyAgain() {
+        fleet.applyConfiguration();
+    }
+
     @Given("a model service with {int} prefill and {int} decode upstreams of {int} pieces")
     public void addModelService(final int prefills, final int decodes, final int pieces) {
         fleet.addModelService(prefills, decodes, pieces);
--- a/src/test/resources/scenarios/team-budgets.feature
+++ b/src/test/resources/scenarios/team-budgets.feature
@@ -97,3 +97,27 @@
     Then no team has received more than its rate and burst
     And no two instances held the same budget
     And the roster lists "a, c, d, e, f, g"
+
+  Scenario: A slot that moved after a death starts empty
+    Given a team "carvers" with 200 tokens a second and a burst of 20000
+    When the configuration is applied again
+    And 100 seconds pass
+    And team "carvers" sends 600 requests of 50 prompt and 50 output tokens at once
+    And 3 seconds pass
+    And the home of a slot of team "carvers" is killed
+    And 27 seconds pass
+    And team "carvers" sends 600 requests of 50 prompt and 50 output tokens at once
+    And 120 seconds pass
+    Then no team has received more than its rate and burst
+
+  Scenario: A member that has not heard of a new one keeps what it holds
+    Given 40 small teams
+    When the configuration is applied again
+    And 30 seconds pass
+    And instance "a" is cut off from the store and the list
+    And instance "a" is cut off from its peers
+    And instance "g" is started
+    And 4 seconds pass
+    And instance "a" reaches everything again
+    And 30 seconds pass
+    Then no two instances held the same budget
