--- a/src/test/java/org/lacewingstep/scenario/FakeUpstream.java
+++ b/src/test/java/org/lacewingstep/scenario/FakeUpstream.java
@@ -21,6 +21,7 @@
     private final Map<AttemptIdentifier, LoadReport.HeldMemory> running = new HashMap<>();
     private final Upstream upstream;
 
+    private int accepted;
     private boolean cold;
     private int coldOverloads;
     private boolean down;
@@ -35,6 +36,10 @@
         this.upstream = upstream;
     }
 
+    int accepted() {
+        return accepted;
+    }
+
     void cancel(final AttemptIdentifier attempt) {
         fleet.time().after(REPORT_LAG.dividedBy(100), () -> running.remove(attempt));
     }
@@ -106,6 +111,7 @@
         if (isOut()) {
             startsWhileLeaving++;
         }
+        accepted++;
         running.put(attempt, new LoadReport.HeldMemory(attempt, owner, pieces));
         return true;
     }
--- a/src/test/java/org/lacewingstep/scenario/OutcomeSteps.java
+++ b/src/test/java/org/lacewingstep/scenario/OutcomeSteps.java
@@ -115,6 +115,11 @@
         assertThat(world.fleet().callers().executions()).isLessThanOrEqualTo(mayHaveRun);
     }
 
+    @Then("no upstream got new work since then")
+    public void checkNoWork() {
+        assertThat(world.recentlyAccepted()).isZero();
+    }
+
     @Then("no upstream got new work while it was out")
     public void checkLeaving() {
         assertThat(world.recentStartsWhileLeaving()).isZero();
--- a/src/test/java/org/lacewingstep/scenario/ScenarioWorld.java
+++ b/src/test/java/org/lacewingstep/scenario/ScenarioWorld.java
@@ -4,6 +4,7 @@
 
 /** What the steps of one scenario share. */
 public class ScenarioWorld {
+    private int acceptedBefore;
     private int answersBefore;
     private VirtualFleet fleet;
     private int startsBefore;
@@ -21,15 +22,26 @@
         return answers.subList(answersBefore, answers.size());
     }
 
+    int recentlyAccepted() {
+        return accepted() - acceptedBefore;
+    }
+
     int recentStartsWhileLeaving() {
         return startsWhileLeaving() - startsBefore;
     }
 
     void setAside() {
         answersBefore = fleet.callers().answers().size();
+        acceptedBefore = accepted();
         startsBefore = startsWhileLeaving();
     }
 
+    private int accepted() {
+        return fleet.upstreams().values().stream()
+                .mapToInt(FakeUpstream::accepted)
+                .sum();
+    }
+
     private int startsWhileLeaving() {
         return fleet.upstreams().values().stream()
                 .mapToInt(FakeUpstream::startsWhileLeaving)
