Start at the floor whenever an upstream's start identifier changes

Cause: a report with a new start identifier that did not say cold set the allowance to what the upstream was running. Ruled out: prefills under way at the time (20 ms against 850 ms of notice). Change: only an upstream that this home never saw may start above the floor. Conclusion: the start identifier alone decides; the report's word only adds.

--- a/src/main/java/org/lacewingstep/controller/UpstreamController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamController.java
@@ -63,22 +63,26 @@
     private static Outcome<UpstreamSection> reported(
             final Blackboard board, final UpstreamName name, final LoadReport report, final Instant now) {
         final UpstreamState state = board.upstreams().find(name);
-        final boolean sameStart = state.report()
-                .filter(earlier -> earlier.startIdentifier().equals(report.startIdentifier()))
+        final Optional<LoadReport> earlier = state.report();
+        final boolean sameStart = earlier.filter(last -> last.startIdentifier().equals(report.startIdentifier()))
                 .isPresent();
-        final boolean turnedCold = report.cold()
-                && state.report().filter(earlier -> !earlier.cold()).isPresent();
-        final int floor = board.identity().policy().coldStartFloor();
-        UpstreamState next;
-        if (!sameStart || turnedCold) {
-            final int running = report.cold() ? 0 : report.held().size();
-            next = new UpstreamState(Optional.of(report), Optional.of(now), Math.max(floor, running), false);
-        } else {
-            next = new UpstreamState(Optional.of(report), Optional.of(now), state.allowance(), state.warm());
-        }
+        final boolean turnedCold =
+                report.cold() && earlier.filter(last -> !last.cold()).isPresent();
+        final Optional<LoadReport> reported = Optional.of(report);
+        final UpstreamState next = sameStart && !turnedCold
+                ? new UpstreamState(reported, Optional.of(now), state.allowance(), state.warm())
+                : new UpstreamState(reported, Optional.of(now), firstAllowance(board, earlier, report), false);
         return Outcome.of(with(board, name, next));
     }
 
+    /** An upstream that this home never saw may go on with what it bears already; one that started anew may not. */
+    private static int firstAllowance(
+            final Blackboard board, final Optional<LoadReport> earlier, final LoadReport report) {
+        final int floor = board.identity().policy().coldStartFloor();
+        final boolean mayBeWarm = earlier.isEmpty() && !report.cold();
+        return mayBeWarm ? Math.max(floor, report.held().size()) : floor;
+    }
+
     private static Outcome<UpstreamSection> served(
             final Blackboard board, final UpstreamName name, final boolean succeeded) {
         final Upstream upstream = board.configuration().inForce().upstreams().get(name);
--- a/src/test/java/org/lacewingstep/scenario/FakeUpstream.java
+++ b/src/test/java/org/lacewingstep/scenario/FakeUpstream.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.scenario;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,6 +16,9 @@
 
 /** An engine or plain service with limited memory, which reports its load late. */
 final class FakeUpstream {
+    /** One interval between reports, their lag, and a message to a home. */
+    private static final Duration NOTICE = Duration.ofMillis(850);
+
     private static final Duration REPORT_LAG = Duration.ofMillis(300);
 
     private final VirtualFleet fleet;
@@ -24,7 +28,9 @@
     private int accepted;
     private boolean cold;
     private int coldOverloads;
+    private Instant coldSince = VirtualTime.START;
     private boolean down;
+    private int lateColdOverloads;
     private int overcommits;
     private int served;
     private int servedSinceCold;
@@ -63,6 +69,11 @@
         return running.containsKey(attempt);
     }
 
+    /** Overloads after the cold start could have been noticed from a load report. */
+    int lateColdOverloads() {
+        return lateColdOverloads;
+    }
+
     int overcommits() {
         return overcommits;
     }
@@ -107,6 +118,7 @@
         final int bearable = fleet.policy().coldStartFloor() + servedSinceCold;
         if (cold && running.size() >= bearable) {
             coldOverloads++;
+            lateColdOverloads += fleet.time().now().isAfter(coldSince.plus(NOTICE)) ? 1 : 0;
         }
         if (isOut()) {
             startsWhileLeaving++;
@@ -130,6 +142,7 @@
     void turnCold() {
         starts++;
         cold = true;
+        coldSince = fleet.time().now();
         servedSinceCold = 0;
     }
 
--- a/src/test/java/org/lacewingstep/scenario/OutcomeSteps.java
+++ b/src/test/java/org/lacewingstep/scenario/OutcomeSteps.java
@@ -48,6 +48,13 @@
                 .isZero());
     }
 
+    @Then("no upstream in a cold start got more than it bears once its report had arrived")
+    public void checkColdWhenReported() {
+        world.fleet().upstreams().values().forEach(upstream -> assertThat(upstream.lateColdOverloads())
+                .as("overloads at %s", upstream.upstream().name())
+                .isZero());
+    }
+
     @Then("no engine memory is held and no room is reserved")
     public void checkFreed() {
         world.fleet().upstreams().values().forEach(upstream -> assertThat(upstream.running())
--- a/src/test/resources/scenarios/cold-starts.feature
+++ b/src/test/resources/scenarios/cold-starts.feature
@@ -22,3 +22,13 @@
     And the home of a cell is killed
     And 260 seconds pass
     Then no upstream in a cold start got more than it bears
+
+  Scenario: Upstreams turn cold without warning under load
+    When team "weavers" asks 20 times a second for 100 prompt and 50 output tokens for 60 seconds
+    And 30 seconds pass
+    And every decode upstream turns cold
+    And 15 seconds pass
+    And every decode upstream turns cold
+    And 200 seconds pass
+    Then no upstream in a cold start got more than it bears once its report had arrived
+    And every request has exactly one answer
