Claim idempotency keys before calls that may not be repeated

A repetition that arrives at another instance, or while answers of the store are lost, is not sent again.

--- a/src/main/java/org/lacewingstep/blackboard/Effect.java
+++ b/src/main/java/org/lacewingstep/blackboard/Effect.java
@@ -3,9 +3,11 @@
 import java.time.Instant;
 
 import org.lacewingstep.domain.AttemptIdentifier;
+import org.lacewingstep.domain.IdempotencyKey;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.Upstream;
 
 /** Something that an adapter has to do for the controllers. */
@@ -74,6 +76,24 @@
      */
     record CancelAttempt(Upstream upstream, AttemptIdentifier attempt) implements Effect {}
 
+    /**
+     * Claim an idempotency key in the store for a request, if nobody has.
+     *
+     * @param request the request, not null
+     * @param team the team, not null
+     * @param key the key, not null
+     */
+    record ClaimKey(RequestIdentifier request, TeamName team, IdempotencyKey key) implements Effect {}
+
+    /**
+     * Give a claim back, since the request was not run.
+     *
+     * @param request the request, not null
+     * @param team the team, not null
+     * @param key the key, not null
+     */
+    record ReleaseClaim(RequestIdentifier request, TeamName team, IdempotencyKey key) implements Effect {}
+
     /** End the process. */
     record StopProcess() implements Effect {}
 }
--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -177,6 +177,21 @@
      */
     record TokensWithdrawn(RequestIdentifier request) implements Event {}
 
+    /**
+     * The store has told whether a claim stands for a request.
+     *
+     * @param request the request, not null
+     * @param outcome what the store told, not null
+     */
+    record ClaimAnswered(RequestIdentifier request, ClaimOutcome outcome) implements Event {}
+
+    /** What the store tells about a claim. */
+    enum ClaimOutcome {
+        GRANTED,
+        HELD_BY_ANOTHER,
+        UNKNOWN
+    }
+
     /**
      * The configuration in force has changed.
      *
--- a/src/main/java/org/lacewingstep/blackboard/RequestDemand.java
+++ b/src/main/java/org/lacewingstep/blackboard/RequestDemand.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.Optional;
 
+import org.lacewingstep.domain.IdempotencyKey;
 import org.lacewingstep.domain.KeyDigest;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.ServiceSelector;
@@ -14,6 +15,7 @@
  * @param request the request, not null
  * @param selector the service meant, not null
  * @param key the digest of the caller's key, empty if none came
+ * @param idempotencyKey marks repetitions of one call, empty if none came
  * @param promptTokens length of the prompt in tokens, zero for plain services
  * @param outputTokens most tokens that may be generated, zero for plain services
  * @param deadline when the answer is too late, not null
@@ -22,6 +24,7 @@
         RequestIdentifier request,
         ServiceSelector selector,
         Optional<KeyDigest> key,
+        Optional<IdempotencyKey> idempotencyKey,
         long promptTokens,
         long outputTokens,
         Instant deadline) {
@@ -30,6 +33,7 @@
         Validate.notNull(request, "request");
         Validate.notNull(selector, "selector");
         Validate.notNull(key, "key");
+        Validate.notNull(idempotencyKey, "idempotency key");
         Validate.notNegative(promptTokens, "prompt tokens");
         Validate.notNegative(outputTokens, "output tokens");
         Validate.notNull(deadline, "deadline");
--- a/src/main/java/org/lacewingstep/blackboard/RequestSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/RequestSection.java
@@ -56,6 +56,7 @@
      * @param debits what the team's budget has given, not null
      * @param attempts how many attempts were numbered so far
      * @param everSent whether any part of the request may have reached an upstream
+     * @param claimed whether the request's idempotency key was claimed for it
      * @param avoided upstreams that failed this request, not null
      * @param progress what the caller has received, not null
      * @param phase where the request stands, not null
@@ -67,6 +68,7 @@
             TokenDebits debits,
             int attempts,
             boolean everSent,
+            boolean claimed,
             PSet<UpstreamName> avoided,
             Progress progress,
             Phase phase) {
@@ -87,6 +89,7 @@
                     TokenDebits.NONE,
                     0,
                     false,
+                    false,
                     HashTreePSet.empty(),
                     Progress.NONE,
                     new Phase.AwaitingTokens());
@@ -109,7 +112,16 @@
          */
         public RequestState avoiding(final UpstreamName upstream) {
             return new RequestState(
-                    demand, service, team, debits, attempts, everSent, avoided.plus(upstream), progress, phase);
+                    demand,
+                    service,
+                    team,
+                    debits,
+                    attempts,
+                    everSent,
+                    claimed,
+                    avoided.plus(upstream),
+                    progress,
+                    phase);
         }
 
         /**
@@ -119,7 +131,8 @@
          * @return the state, never null
          */
         public RequestState in(final Phase next) {
-            return new RequestState(demand, service, team, debits, attempts, everSent, avoided, progress, next);
+            return new RequestState(
+                    demand, service, team, debits, attempts, everSent, claimed, avoided, progress, next);
         }
 
         /**
@@ -136,6 +149,7 @@
                     debits,
                     attempts + 1,
                     everSent,
+                    claimed,
                     avoided,
                     new Progress(progress.outputTokens(), 0),
                     next);
@@ -150,7 +164,8 @@
          */
         public RequestState received(final long outputTokens, final boolean sent) {
             final Progress next = new Progress(outputTokens, progress.resumes());
-            return new RequestState(demand, service, team, debits, attempts, everSent || sent, avoided, next, phase);
+            return new RequestState(
+                    demand, service, team, debits, attempts, everSent || sent, claimed, avoided, next, phase);
         }
 
         /**
@@ -160,7 +175,16 @@
          */
         public RequestState resumed() {
             final Progress next = new Progress(progress.outputTokens(), progress.resumes() + 1);
-            return new RequestState(demand, service, team, debits, attempts, everSent, avoided, next, phase);
+            return new RequestState(demand, service, team, debits, attempts, everSent, claimed, avoided, next, phase);
+        }
+
+        /**
+         * Notes that the idempotency key was claimed.
+         *
+         * @return the state, never null
+         */
+        public RequestState withClaim() {
+            return new RequestState(demand, service, team, debits, attempts, everSent, true, avoided, progress, phase);
         }
 
         /**
@@ -170,7 +194,8 @@
          * @return the state, never null
          */
         public RequestState with(final TokenDebits given) {
-            return new RequestState(demand, service, team, given, attempts, everSent, avoided, progress, phase);
+            return new RequestState(
+                    demand, service, team, given, attempts, everSent, claimed, avoided, progress, phase);
         }
     }
 
@@ -215,6 +240,13 @@
          */
         record RenewingTokens(Reservation reservation) implements Phase {}
 
+        /**
+         * Has room, and waits for the store to tell whether the call was made before.
+         *
+         * @param reservation the room it holds, not null
+         */
+        record Claiming(Reservation reservation) implements Phase {}
+
         /**
          * Runs at upstreams.
          *
--- a/src/main/java/org/lacewingstep/control/EffectDispatcher.java
+++ b/src/main/java/org/lacewingstep/control/EffectDispatcher.java
@@ -34,6 +34,8 @@
             case Effect.WriteRoster(var roster, long revision) -> platform.writeRoster(roster, revision);
             case Effect.FetchLoad(var upstream) -> upstreams.fetchLoad(upstream);
             case Effect.CancelAttempt(var upstream, var attempt) -> upstreams.cancel(upstream, attempt);
+            case Effect.ClaimKey(var request, var team, var key) -> platform.claim(request, team, key);
+            case Effect.ReleaseClaim(var request, var team, var key) -> platform.releaseClaim(request, team, key);
             case Effect.StopProcess() -> stopProcess.run();
         }
     }
--- a/src/main/java/org/lacewingstep/controller/Placement.java
+++ b/src/main/java/org/lacewingstep/controller/Placement.java
@@ -8,7 +8,6 @@
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.Effect;
 import org.lacewingstep.blackboard.Event;
-import org.lacewingstep.blackboard.Instruction;
 import org.lacewingstep.blackboard.PeerMessage;
 import org.lacewingstep.blackboard.PeerMessage.PlacementVerdict;
 import org.lacewingstep.blackboard.Refusal;
@@ -278,7 +277,9 @@
         }
         final boolean fresh = state.everSent()
                 || state.debits().isFresh(board.identity().policy().grantLife(), now);
-        return fresh ? dispatch(board, state, reservation, draft) : renewTokens(board, state, reservation, draft);
+        return fresh
+                ? Claims.dispatch(board, state, reservation, draft)
+                : renewTokens(board, state, reservation, draft);
     }
 
     /** A debit that aged in the queue would let the team receive more at once than its burst, so it is taken anew. */
@@ -291,21 +292,6 @@
         return board.requests().with(state.with(TokenDebits.NONE).in(new Phase.RenewingTokens(reservation)));
     }
 
-    /**
-     * Lets a request run in its room.
-     *
-     * @param board the blackboard, not null
-     * @param state the request, not null
-     * @param reservation the room, not null
-     * @param draft collects what follows, not null
-     * @return the requests afterwards, never null
-     */
-    static RequestSection dispatch(
-            final Blackboard board, final RequestState state, final Reservation reservation, final Draft draft) {
-        draft.add(new Effect.Instruct(state.demand().request(), new Instruction.Run(reservation)));
-        return board.requests().with(state.in(new Phase.Running(reservation)));
-    }
-
     /** A cell without room is not asked again; one whose home moved is asked when the others have been. */
     private static RequestSection skip(
             final Blackboard board,
--- a/src/main/java/org/lacewingstep/controller/RequestController.java
+++ b/src/main/java/org/lacewingstep/controller/RequestController.java
@@ -44,6 +44,8 @@
             case Event.RequestReceived(RequestDemand demand) -> draft.outcome(receive(board, demand, draft, now));
             case Event.TokensGranted(RequestIdentifier request, TokenDebits debits) ->
                 draft.outcome(granted(board, request, debits, draft, now));
+            case Event.ClaimAnswered(RequestIdentifier request, Event.ClaimOutcome outcome) ->
+                draft.outcome(Claims.answered(board, request, outcome, draft));
             case Event.TokensRefused(RequestIdentifier request, Refusal refusal) ->
                 draft.outcome(refuse(board, request, refusal, draft));
             case Event.AttemptEnded(AttemptIdentifier attempt, AttemptResult result) ->
@@ -110,7 +112,8 @@
         final RequestState paid = state.with(debits);
         return switch (state.phase()) {
             case Phase.AwaitingTokens() -> Placement.begin(board, board.requests(), paid, draft, now);
-            case Phase.RenewingTokens(Reservation room) -> Placement.dispatch(board, paid, room, draft);
+            case Phase.RenewingTokens(Reservation room) -> Claims.dispatch(board, paid, room, draft);
+            case Phase.Claiming claiming -> board.requests();
             case Phase.AwaitingPlacement waiting -> board.requests();
             case Phase.Running running -> board.requests();
         };
--- a/src/main/java/org/lacewingstep/controller/RequestEnding.java
+++ b/src/main/java/org/lacewingstep/controller/RequestEnding.java
@@ -96,6 +96,7 @@
             return fail(section, state, refusal.code(), refusal.message(), draft);
         }
         refund(state, 0, false, draft);
+        Claims.giveBack(state, draft);
         draft.add(new Effect.Instruct(state.demand().request(), new Instruction.Refuse(refusal)));
         return section.without(state.demand().request());
     }
@@ -138,6 +139,7 @@
                 draft.add(new Event.TokensWithdrawn(state.demand().request()));
                 release(board, state, held.cell(), Optional.empty(), false, draft);
             }
+            case Phase.Claiming(Reservation held) -> release(board, state, held.cell(), Optional.empty(), false, draft);
             case Phase.Running(Reservation held) -> {
                 cancel(board, held, draft);
                 release(board, state, held.cell(), Optional.empty(), false, draft);
--- a/src/main/java/org/lacewingstep/controller/RunningReservations.java
+++ b/src/main/java/org/lacewingstep/controller/RunningReservations.java
@@ -44,6 +44,7 @@
             case Phase.AwaitingTokens() -> Optional.empty();
             case Phase.AwaitingPlacement waiting -> Optional.empty();
             case Phase.RenewingTokens(Reservation reservation) -> Optional.of(reservation);
+            case Phase.Claiming(Reservation reservation) -> Optional.of(reservation);
             case Phase.Running(Reservation reservation) -> Optional.of(reservation);
         };
     }
--- a/src/main/java/org/lacewingstep/platform/PlatformAdapter.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformAdapter.java
@@ -1,7 +1,9 @@
 package org.lacewingstep.platform;
 
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -12,10 +14,13 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.domain.IdempotencyKey;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
+import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.TeamName;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import ratpack.exec.ExecController;
@@ -71,6 +76,60 @@
         this.execution = execution;
     }
 
+    /**
+     * Claims an idempotency key if nobody has; a lost answer is resolved by reading the claim.
+     *
+     * @param request the request, not null
+     * @param team the team, not null
+     * @param key the key, not null
+     */
+    public void claim(final RequestIdentifier request, final TeamName team, final IdempotencyKey key) {
+        final String name = StoreKeys.claim(team, key);
+        final byte[] value = request.value().getBytes(StandardCharsets.UTF_8);
+        execution
+                .fork()
+                .onError(failure -> {
+                    LOGGER.atWarn()
+                            .addKeyValue("request", request)
+                            .addKeyValue("step", "claim")
+                            .log("claiming failed: {}", failure.toString());
+                    events.accept(new Event.ClaimAnswered(request, Event.ClaimOutcome.UNKNOWN));
+                })
+                .start(started -> store.compareAndPut(name, 0, value)
+                        .flatMap(written -> written.isPresent()
+                                ? Promise.value(Event.ClaimOutcome.GRANTED)
+                                : readClaim(name, value))
+                        .flatMapError(failure -> readClaim(name, value))
+                        .then(outcome -> events.accept(new Event.ClaimAnswered(request, outcome))));
+    }
+
+    private Promise<Event.ClaimOutcome> readClaim(final String name, final byte[] value) {
+        return store.read(name).map(found -> {
+            if (found.isEmpty()) {
+                return Event.ClaimOutcome.UNKNOWN;
+            }
+            final boolean own = Arrays.equals(found.get().value(), value);
+            return own ? Event.ClaimOutcome.GRANTED : Event.ClaimOutcome.HELD_BY_ANOTHER;
+        });
+    }
+
+    /**
+     * Deletes the claim of a request that was not run.
+     *
+     * @param request the request, not null
+     * @param team the team, not null
+     * @param key the key, not null
+     */
+    public void releaseClaim(final RequestIdentifier request, final TeamName team, final IdempotencyKey key) {
+        final String name = StoreKeys.claim(team, key);
+        final byte[] value = request.value().getBytes(StandardCharsets.UTF_8);
+        run("releasing a claim", () -> store.read(name), found -> {
+            if (found.filter(stored -> Arrays.equals(stored.value(), value)).isPresent()) {
+                store.delete(name).then(deleted -> LOGGER.debug("released the claim of {}", request));
+            }
+        });
+    }
+
     /**
      * Reads the configuration if it is newer than the one in force; one reading runs at a time.
      *
--- a/src/main/java/org/lacewingstep/platform/StoreClient.java
+++ b/src/main/java/org/lacewingstep/platform/StoreClient.java
@@ -63,6 +63,17 @@
                         : Optional.empty());
     }
 
+    /**
+     * Deletes a key.
+     *
+     * @param key the key, not null
+     * @return whether the store answered; fails if it cannot be reached
+     */
+    public Promise<Boolean> delete(final String key) {
+        final ObjectNode body = MAPPER.createObjectNode().put("key", encode(key));
+        return call("/v3/kv/deleterange", body).map(answer -> true);
+    }
+
     /**
      * Asks for a lease.
      *
--- a/src/main/java/org/lacewingstep/traffic/ErrorAnswer.java
+++ b/src/main/java/org/lacewingstep/traffic/ErrorAnswer.java
@@ -79,6 +79,7 @@
             case ROUTE_FORBIDDEN -> 403;
             case SERVICE_UNKNOWN -> 404;
             case CALLER_STALLED -> 408;
+            case DUPLICATE_CALL -> 409;
             case BODY_TOO_LARGE -> 413;
             case RATE_EXCEEDED -> 429;
             case UPSTREAM_FAILED -> 502;
--- a/src/main/java/org/lacewingstep/traffic/RequestDesk.java
+++ b/src/main/java/org/lacewingstep/traffic/RequestDesk.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelFutureListener;
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.RequestDemand;
+import org.lacewingstep.domain.IdempotencyKey;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.KeyDigest;
 import org.lacewingstep.domain.RequestIdentifier;
@@ -117,8 +118,8 @@
             final long outputTokens) {
         final InstructionInbox inbox = instructions.open(request);
         final Instant deadline = clock.get().plus(timeLimit);
-        events.accept(new Event.RequestReceived(
-                new RequestDemand(request, selector, digest(context), promptTokens, outputTokens, deadline)));
+        events.accept(new Event.RequestReceived(new RequestDemand(
+                request, selector, digest(context), idempotencyKey(context), promptTokens, outputTokens, deadline)));
         return inbox;
     }
 
@@ -131,6 +132,12 @@
         return upstreams;
     }
 
+    private static Optional<IdempotencyKey> idempotencyKey(final Context context) {
+        return Optional.ofNullable(context.getRequest().getHeaders().get("Idempotency-Key"))
+                .filter(header -> !header.isBlank())
+                .map(header -> new IdempotencyKey(digest(header).value()));
+    }
+
     private static Optional<KeyDigest> digest(final Context context) {
         final String header = context.getRequest().getHeaders().get("Authorization");
         if (header == null || !header.startsWith(BEARER) || header.length() == BEARER.length()) {
--- a/src/standin/java/org/lacewingstep/standin/Demo.java
+++ b/src/standin/java/org/lacewingstep/standin/Demo.java
@@ -79,6 +79,7 @@
         final int port = site.port(DemoSite.INSTANCES.getLast());
         final HttpResponse<String> sale = caller.send(port, "/ledger/sales", key, "sale-1");
         check("plain call", "done 1 sale-1", sale.body());
+        showRepetition(key);
         for (int index = 0; index < 2; index++) {
             caller.send(site.port("ledger-" + index), "/standin/drop-next", "", "");
         }
@@ -97,6 +98,15 @@
         check("executions of the lost call", "1", Integer.toString(executions));
     }
 
+    private void showRepetition(final String key) throws Exception {
+        final int first = site.port(DemoSite.INSTANCES.getFirst());
+        final int second = site.port(DemoSite.INSTANCES.getLast());
+        final HttpResponse<String> made = caller.sendOnce(first, "/ledger/sales", key, "sale-3", "mark-3");
+        check("call with an idempotency key", "done 1 sale-3", made.body());
+        final HttpResponse<String> again = caller.sendOnce(second, "/ledger/sales", key, "sale-3", "mark-3");
+        check("repetition at another instance", "409", Integer.toString(again.statusCode()));
+    }
+
     private void showRefusals(final String key) throws Exception {
         final int port = site.port(DemoSite.INSTANCES.getFirst());
         final HttpResponse<String> unknown =
--- a/src/standin/java/org/lacewingstep/standin/DemoCaller.java
+++ b/src/standin/java/org/lacewingstep/standin/DemoCaller.java
@@ -53,6 +53,16 @@
         return client.send(post(port, path, key, body), HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Sends a call that is marked with an idempotency key. */
+    HttpResponse<String> sendOnce(
+            final int port, final String path, final String key, final String body, final String mark)
+            throws IOException, InterruptedException {
+        final HttpRequest request = HttpRequest.newBuilder(post(port, path, key, body), (name, value) -> true)
+                .header("Idempotency-Key", mark)
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
     /** Gathers the text of a streamed answer; says so if the end mark is missing. */
     static String streamedText(final String events) throws IOException {
         final StringBuilder text = new StringBuilder();
--- a/src/standin/java/org/lacewingstep/standin/StoreStandIn.java
+++ b/src/standin/java/org/lacewingstep/standin/StoreStandIn.java
@@ -34,6 +34,7 @@
         chain.post("v3/kv/range", context -> answer(context, this::range))
                 .post("v3/kv/put", context -> answer(context, this::put))
                 .post("v3/kv/txn", context -> answer(context, this::transact))
+                .post("v3/kv/deleterange", context -> answer(context, this::delete))
                 .post("v3/lease/grant", context -> answer(context, this::grant))
                 .post("v3/lease/keepalive", context -> answer(context, this::keepAlive))
                 .post("standin/outage/:state", context -> {
@@ -82,6 +83,11 @@
         });
     }
 
+    private ObjectNode delete(final JsonNode request) throws java.io.IOException {
+        final boolean existed = entries.remove(text(request.path("key"))) != null;
+        return MAPPER.createObjectNode().put("deleted", existed ? "1" : "0");
+    }
+
     private ObjectNode grant(final JsonNode request) {
         final long lease = nextLease++;
         final long seconds = request.path("TTL").asLong();
--- a/src/test/java/org/lacewingstep/scenario/FakeCallers.java
+++ b/src/test/java/org/lacewingstep/scenario/FakeCallers.java
@@ -14,6 +14,7 @@
 import org.lacewingstep.blackboard.Instruction;
 import org.lacewingstep.blackboard.RequestDemand;
 import org.lacewingstep.blackboard.RequestSection;
+import org.lacewingstep.domain.IdempotencyKey;
 import org.lacewingstep.domain.KeyDigest;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Reservation;
@@ -31,6 +32,7 @@
 
     private final Map<RequestIdentifier, Duration> admittedAfter = new HashMap<>();
     private final List<Answer> answers = new ArrayList<>();
+    private final Map<IdempotencyKey, Integer> executionsByKey = new HashMap<>();
     private final VirtualFleet fleet;
     private final BudgetLedger ledger = new BudgetLedger();
     private final Map<RequestIdentifier, Sent> open = new HashMap<>();
@@ -46,6 +48,10 @@
         return answers;
     }
 
+    Map<IdempotencyKey, Integer> executionsByKey() {
+        return executionsByKey;
+    }
+
     long executions() {
         return executions;
     }
@@ -112,6 +118,7 @@
                 request,
                 selector,
                 Optional.of(keyOf(team)),
+                work.idempotencyKey(),
                 work.promptTokens(),
                 work.outputTokens(),
                 now.plus(instance.policy().requestLimit()));
@@ -150,6 +157,7 @@
             return;
         }
         executions++;
+        sent.work().idempotencyKey().ifPresent(key -> executionsByKey.merge(key, 1, Integer::sum));
         fleet.time().after(PLAIN_CALL, () -> {
             final boolean served = target.isRunning(room.attempt());
             target.end(room.attempt());
@@ -228,7 +236,11 @@
             boolean wrongful) {}
 
     /** What a request asks for and what it will really use. */
-    record Work(long promptTokens, long outputTokens, long usedTokens) {}
+    record Work(long promptTokens, long outputTokens, long usedTokens, Optional<IdempotencyKey> idempotencyKey) {
+        Work(final long promptTokens, final long outputTokens, final long usedTokens) {
+            this(promptTokens, outputTokens, usedTokens, Optional.empty());
+        }
+    }
 
     private record Sent(RequestIdentifier request, VirtualInstance instance, TeamName team, Work work, Instant at) {}
 }
--- a/src/test/java/org/lacewingstep/scenario/FakePlatform.java
+++ b/src/test/java/org/lacewingstep/scenario/FakePlatform.java
@@ -12,6 +12,7 @@
 import org.lacewingstep.domain.Configuration;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
+import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Roster;
 
 /** The key-value service and the instance list. */
@@ -19,6 +20,7 @@
     private static final Duration CALL_DELAY = Duration.ofMillis(3);
     private static final Duration TIME_OUT = Duration.ofSeconds(3);
 
+    private final Map<String, RequestIdentifier> claims = new HashMap<>();
     private final Set<InstanceName> cut = new HashSet<>();
     private final VirtualFleet fleet;
     private final Map<Long, Lease> leases = new HashMap<>();
@@ -45,6 +47,32 @@
         return configuration;
     }
 
+    /** A lost answer is resolved by reading the claim, or not at all. */
+    void claim(final VirtualInstance caller, final RequestIdentifier request, final String name) {
+        if (storeDown || cut.contains(caller.name())) {
+            fleet.time()
+                    .after(
+                            TIME_OUT,
+                            () -> caller.deliver(new Event.ClaimAnswered(request, Event.ClaimOutcome.UNKNOWN)));
+            return;
+        }
+        fleet.time().after(CALL_DELAY, () -> {
+            final boolean own = request.equals(claims.computeIfAbsent(name, key -> request));
+            final Event.ClaimOutcome told = own ? Event.ClaimOutcome.GRANTED : Event.ClaimOutcome.HELD_BY_ANOTHER;
+            final Event.ClaimOutcome outcome = losesAnswers ? Event.ClaimOutcome.UNKNOWN : told;
+            fleet.time()
+                    .after(
+                            losesAnswers ? TIME_OUT : CALL_DELAY,
+                            () -> caller.deliver(new Event.ClaimAnswered(request, outcome)));
+        });
+    }
+
+    void releaseClaim(final VirtualInstance caller, final RequestIdentifier request, final String name) {
+        if (!storeDown && !losesAnswers && !cut.contains(caller.name())) {
+            fleet.time().after(CALL_DELAY, () -> claims.remove(name, request));
+        }
+    }
+
     void cutOff(final InstanceName instance, final boolean isCut) {
         if (isCut) {
             cut.add(instance);
--- a/src/test/java/org/lacewingstep/scenario/FleetSteps.java
+++ b/src/test/java/org/lacewingstep/scenario/FleetSteps.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.When;
@@ -12,6 +13,7 @@
 import org.lacewingstep.domain.Configuration;
 import org.lacewingstep.domain.FailureDomain;
 import org.lacewingstep.domain.FailureDomainName;
+import org.lacewingstep.domain.IdempotencyKey;
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.KeyDigest;
 import org.lacewingstep.domain.ServiceSelector;
@@ -121,6 +123,27 @@
         }
     }
 
+    @When("team {string} makes {int} calls with idempotency keys, each sent again at another instance {int} times")
+    public void callAgain(final String team, final int calls, final int repetitions) {
+        final ServiceSelector selector = new ServiceSelector.ByPath(VirtualFleet.LEDGER_PATH);
+        for (int call = 0; call < calls; call++) {
+            final Work work = new Work(0, 0, 0, Optional.of(new IdempotencyKey("call-" + call)));
+            for (int turn = 0; turn <= repetitions; turn++) {
+                final Duration delay =
+                        Duration.ofMillis(50L * call + fleet.random().nextInt(8000) * (turn > 0 ? 1 : 0));
+                fleet.time().after(delay, () -> {
+                    final List<VirtualInstance> living = fleet.living();
+                    fleet.callers()
+                            .send(
+                                    living.get(fleet.random().nextInt(living.size())),
+                                    new TeamName(team),
+                                    selector,
+                                    work);
+                });
+            }
+        }
+    }
+
     private void schedule(
             final String team, final ServiceSelector selector, final int rate, final int seconds, final Work work) {
         final long gap = Duration.ofSeconds(1).toNanos() / rate;
--- a/src/test/java/org/lacewingstep/scenario/OutcomeSteps.java
+++ b/src/test/java/org/lacewingstep/scenario/OutcomeSteps.java
@@ -133,6 +133,12 @@
         assertThat(world.fleet().callers().executions()).isLessThanOrEqualTo(mayHaveRun);
     }
 
+    @Then("at least {int} calls were executed and none of them twice")
+    public void checkKeys(final int least) {
+        assertThat(world.fleet().callers().executionsByKey()).hasSizeGreaterThanOrEqualTo(least);
+        assertThat(world.fleet().callers().executionsByKey().values()).containsOnly(1);
+    }
+
     @Then("no upstream got new work since then")
     public void checkNoWork() {
         assertThat(world.recentlyAccepted()).isZero();
--- a/src/test/java/org/lacewingstep/scenario/VirtualInstance.java
+++ b/src/test/java/org/lacewingstep/scenario/VirtualInstance.java
@@ -140,6 +140,10 @@
                 fleet.upstream(upstream.name()).report(this);
             case Effect.CancelAttempt(var upstream, var attempt) ->
                 fleet.upstream(upstream.name()).cancel(attempt);
+            case Effect.ClaimKey(var request, var team, var key) ->
+                fleet.platform().claim(this, request, team + "/" + key);
+            case Effect.ReleaseClaim(var request, var team, var key) ->
+                fleet.platform().releaseClaim(this, request, team + "/" + key);
             case Effect.StopProcess() -> fleet.time().after(LAST_ANSWERS, () -> fleet.kill(this));
         }
     }
--- a/src/test/resources/scenarios/plain-calls.feature
+++ b/src/test/resources/scenarios/plain-calls.feature
@@ -24,3 +24,18 @@
     And 160 seconds pass
     Then no call was executed more than once and none refused as not run was executed
     And every request has exactly one answer
+
+  Scenario: Callers repeat their calls at other instances
+    When team "weavers" makes 100 calls with idempotency keys, each sent again at another instance 3 times
+    And 160 seconds pass
+    Then at least 100 calls were executed and none of them twice
+    And every request has exactly one answer
+
+  Scenario: Callers repeat their calls while the store loses its answers and an instance dies
+    When the store loses its answers for 4 seconds
+    And team "weavers" makes 200 calls with idempotency keys, each sent again at another instance 3 times
+    And 3 seconds pass
+    And instance "a" is killed
+    And 160 seconds pass
+    Then at least 100 calls were executed and none of them twice
+    And every request has exactly one answer
