Break calls off at every point over real sockets

An answer that breaks off inside its headers is taken for a complete and empty one; listed in KNOWN-RED.txt with its cause and the failed try. A prefill without hand-over parameters is an error now.

--- a/src/main/java/org/lacewingstep/command/RouterProcess.java
+++ b/src/main/java/org/lacewingstep/command/RouterProcess.java
@@ -87,6 +87,7 @@
     @Override
     public void close() throws Exception {
         control.stop();
+        stopped.countDown();
         peers.close();
         callerServer.stop();
         operatorServer.stop();
--- a/src/main/java/org/lacewingstep/upstream/UpstreamClient.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamClient.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -110,9 +111,20 @@
                     request.readTimeout(silenceLimit);
                     request.body(content -> content.type("application/json").text(body.toString()));
                 })
-                .map(answer -> MAPPER.readTree(
-                                check(upstream, "prefill", answer).getBody().getText())
-                        .path("kv_transfer_params"));
+                .map(answer -> transfer(upstream, check(upstream, "prefill", answer)));
+    }
+
+    private static JsonNode transfer(final Upstream upstream, final ReceivedResponse answer)
+            throws JsonProcessingException {
+        final JsonNode transfer = MAPPER.readTree(answer.getBody().getText()).path("kv_transfer_params");
+        if (!transfer.isObject()) {
+            throw new RouterException(
+                    ErrorCode.UPSTREAM_FAILED,
+                    "prefill",
+                    upstream.name().value(),
+                    "the answer has no kv_transfer_params");
+        }
+        return transfer;
     }
 
     /**
--- a/src/standin/java/org/lacewingstep/standin/StandInMain.java
+++ b/src/standin/java/org/lacewingstep/standin/StandInMain.java
@@ -38,7 +38,8 @@
         }
     }
 
-    private static void startList(final int port, final List<String> addresses) throws Exception {
+    /** Starts a list that checks the liveness of instances. */
+    static RatpackServer startList(final int port, final List<String> addresses) throws Exception {
         final InstanceListStandIn list = new InstanceListStandIn(addresses);
         final RatpackServer server = StandInServer.start(port, list);
         final ExecController execution = server.getRegistry().orElseThrow().get(ExecController.class);
@@ -50,5 +51,6 @@
                 .getExecutor()
                 .scheduleWithFixedDelay(
                         () -> list.check(client, execution), 0, CHECK_MILLISECONDS, TimeUnit.MILLISECONDS);
+        return server;
     }
 }
--- /dev/null
+++ b/src/test/java/org/lacewingstep/command/CutPointTest.java
@@ -0,0 +1,185 @@
+package org.lacewingstep.command;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.lacewingstep.command.CuttingService.CutPoint;
+import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.settings.InstanceSettings;
+import org.lacewingstep.settings.Inventory;
+import org.lacewingstep.standin.StandIns;
+import org.lacewingstep.traffic.RequestDesk;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Breaks calls that may not be repeated off at every point, over real sockets, and counts their executions. */
+class CutPointTest {
+    private static final String KEY = "a-key-of-the-weavers";
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(60);
+    private static final String SETTINGS =
+            """
+            [instance]
+            name = "a"
+            failure_domain = "Rundu"
+            caller_address = "127.0.0.1:%d"
+            operator_address = "127.0.0.1:%d"
+            peer_address = "127.0.0.1:%d"
+            [platform]
+            store = "%s"
+            instance_list = "%s"
+            [policy]
+            heartbeat_interval = "50ms"
+            grant_life = "200ms"
+            admission_patience = "100ms"
+            settle_delay = "300ms"
+            load_interval = "100ms"
+            """;
+    private static final String INVENTORY =
+            """
+            [[failure_domain]]
+            name = "Rundu"
+            [[team]]
+            name = "weavers"
+            tokens_per_second = 1000
+            burst_tokens = 10000
+            [[service]]
+            name = "ledger"
+            path = "/ledger"
+            [[upstream]]
+            name = "ledger-0"
+            service = "ledger"
+            role = "plain"
+            address = "127.0.0.1:%d"
+            failure_domain = "Rundu"
+            memory_pieces = 8
+            """;
+    private static final String RULES = "[[route]]\nservice = \"ledger\"\nteams = [\"weavers\"]\n";
+
+    private static int callerPort;
+    private static HttpClient client;
+    private static RouterProcess router;
+    private static CuttingService service;
+    private static StandIns standIns;
+
+    @TempDir
+    private static Path folder;
+
+    @BeforeAll
+    static void start() throws Exception {
+        LogSetup.configure(false, "warn");
+        client = HttpClient.newHttpClient();
+        service = new CuttingService();
+        callerPort = freePort();
+        final int operatorPort = freePort();
+        standIns = new StandIns(List.of("127.0.0.1:" + operatorPort));
+        applyConfiguration();
+        final String text = SETTINGS.formatted(
+                callerPort, operatorPort, freePort(), standIns.storeAddress(), standIns.listAddress());
+        router = new RouterProcess(InstanceSettings.read(write("settings.toml", text)));
+        router.start();
+        awaitAnswer();
+    }
+
+    @AfterAll
+    static void stop() throws Exception {
+        router.close();
+        standIns.close();
+        service.close();
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            names = {"NEVER", "IN_HEADERS"},
+            mode = EnumSource.Mode.EXCLUDE)
+    void aBrokenCallRunsAtMostOnceAndIsNeverCalledNotRun(final CutPoint point) throws Exception {
+        checkBrokenCall(point);
+    }
+
+    /** Listed in KNOWN-RED.txt: the HTTP client takes such an answer for a complete and empty one. */
+    @Test
+    @Tag("known-red")
+    void anAnswerThatBreaksOffInItsHeadersIsNotTakenForComplete() throws Exception {
+        checkBrokenCall(CutPoint.IN_HEADERS);
+    }
+
+    private static void checkBrokenCall(final CutPoint point) throws Exception {
+        service.cutAt(point);
+        final HttpResponse<String> answer = call("a sale");
+        final String run = new ObjectMapper()
+                .readTree(answer.body())
+                .path("error")
+                .path("run")
+                .asText();
+        assertThat(service.executions()).isLessThanOrEqualTo(1);
+        assertThat(run).isEqualTo("may have run");
+    }
+
+    @Test
+    void aCallThatIsNotBrokenRunsOnce() throws Exception {
+        service.cutAt(CutPoint.NEVER);
+        assertThat(call("a sale").body()).isEqualTo("done");
+        assertThat(service.executions()).isEqualTo(1);
+    }
+
+    private static void applyConfiguration() throws IOException {
+        final Path inventory = write("inventory.toml", INVENTORY.formatted(service.port()));
+        final Path rules = write("rules.toml", RULES);
+        ConfigurationEditor.edit(standIns.storeAddress(), current -> {
+            final Configuration compiled = Inventory.compile(inventory, rules, current);
+            return new Configuration(
+                    compiled.generation(),
+                    compiled.failureDomains(),
+                    compiled.services(),
+                    compiled.upstreams(),
+                    compiled.teams(),
+                    Map.of(RequestDesk.digest(KEY), new TeamName("weavers")));
+        });
+    }
+
+    private static void awaitAnswer() throws Exception {
+        final Instant end = Instant.now().plus(LONGEST_WAIT);
+        while (call("a first sale").statusCode() != 200) {
+            assertThat(Instant.now()).as("the router serves").isBefore(end);
+            Thread.sleep(100);
+        }
+    }
+
+    private static HttpResponse<String> call(final String body) throws Exception {
+        final HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + callerPort + "/ledger/sales"))
+                .timeout(LONGEST_WAIT)
+                .header("Authorization", "Bearer " + KEY)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static Path write(final String name, final String text) throws IOException {
+        return Files.writeString(folder.resolve(name), text);
+    }
+}
