--- a/src/main/java/org/lacewingstep/command/RouterProcess.java
+++ b/src/main/java/org/lacewingstep/command/RouterProcess.java
@@ -105,7 +105,7 @@
                 new LoadAdapter(upstreamClient, control::post, execution),
                 stopped::countDown);
         peers.start();
-        final Duration idle = settings.callerIdleLimit();
+        final Duration idle = settings.callerIdleLimit().multipliedBy(2);
         callerServer = serve(settings.callerAddress(), idle, this::callerChain);
         operatorServer = serve(settings.operatorAddress(), idle, new OperatorHandlers(control::board, metrics));
         Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
--- a/src/test/java/org/lacewingstep/command/CutPointTest.java
+++ b/src/test/java/org/lacewingstep/command/CutPointTest.java
@@ -2,10 +2,12 @@
 
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -46,6 +48,8 @@
             [platform]
             store = "%s"
             instance_list = "%s"
+            [limits]
+            caller_idle = "1s"
             [policy]
             heartbeat_interval = "50ms"
             grant_life = "200ms"
@@ -140,6 +144,23 @@
         assertThat(service.executions()).isEqualTo(1);
     }
 
+    @Test
+    void aCallerThatStallsIsRefusedAndNothingIsSent() throws Exception {
+        service.cutAt(CutPoint.NEVER);
+        try (Socket socket = new Socket("127.0.0.1", callerPort)) {
+            socket.setSoTimeout((int) LONGEST_WAIT.toMillis());
+            final String head = "POST /ledger/sales HTTP/1.1\r\nHost: here\r\nAuthorization: Bearer " + KEY
+                    + "\r\nContent-Length: 100\r\n\r\nonly a part";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            final String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(answer)
+                    .startsWith("HTTP/1.1 408")
+                    .contains("CALLER_STALLED")
+                    .contains("not run");
+        }
+        assertThat(service.executions()).isZero();
+    }
+
     private static void applyConfiguration() throws IOException {
         final Path inventory = write("inventory.toml", INVENTORY.formatted(service.port()));
         final Path rules = write("rules.toml", RULES);
