--- a/src/test/java/org/lacewingstep/scenario/FakeCallers.java
+++ b/src/test/java/org/lacewingstep/scenario/FakeCallers.java
@@ -39,6 +39,8 @@
 
     private long count;
     private long executions;
+    private int leavers;
+    private Duration patience = Duration.ZERO;
 
     FakeCallers(final VirtualFleet fleet) {
         this.fleet = fleet;
@@ -74,7 +76,13 @@
         return ledger;
     }
 
-    void leave(final RequestIdentifier request) {
+    /** From now on one in so many callers leaves. */
+    void letLeave(final int oneIn, final Duration after) {
+        leavers = oneIn;
+        patience = after;
+    }
+
+    private void leave(final RequestIdentifier request) {
         final Sent sent = open.remove(request);
         if (sent != null) {
             sent.instance().deliver(new Event.CallerLeft(request, 0));
@@ -123,6 +131,9 @@
                 work.outputTokens(),
                 now.plus(instance.policy().requestLimit()));
         open.put(request, new Sent(request, instance, team, work, now));
+        if (leavers > 0 && count % leavers == 0) {
+            fleet.time().after(patience, () -> leave(request));
+        }
         instance.deliver(new Event.RequestReceived(demand));
         return request;
     }
--- a/src/test/java/org/lacewingstep/scenario/FakeUpstream.java
+++ b/src/test/java/org/lacewingstep/scenario/FakeUpstream.java
@@ -61,6 +61,10 @@
         }
     }
 
+    boolean holdsFor(final Incarnation owner) {
+        return running.values().stream().anyMatch(held -> held.owner().equals(owner));
+    }
+
     boolean isDown() {
         return down;
     }
--- a/src/test/java/org/lacewingstep/scenario/FleetSteps.java
+++ b/src/test/java/org/lacewingstep/scenario/FleetSteps.java
@@ -259,6 +259,11 @@
         fleet.network().disturb(1.0 / lost, 1.0 / repeated, Duration.ofMillis(20));
     }
 
+    @When("one in {int} callers leaves after {int} milliseconds")
+    public void letLeave(final int oneIn, final int milliseconds) {
+        fleet.callers().letLeave(oneIn, Duration.ofMillis(milliseconds));
+    }
+
     @When("every decode upstream turns cold")
     public void turnCold() {
         decodes().forEach(FakeUpstream::turnCold);
--- a/src/test/resources/scenarios/engine-memory.feature
+++ b/src/test/resources/scenarios/engine-memory.feature
@@ -75,3 +75,25 @@
     And no two instances held the same budget
     And every request has exactly one answer
     And no engine memory is held and no room is reserved
+
+  Scenario: Callers leave while they wait, in prefill and in decode
+    When one in 3 callers leaves after 900 milliseconds
+    And team "polishers" asks 10 times a second for 3000 prompt and 200 output tokens for 60 seconds
+    And 260 seconds pass
+    Then no engine memory was promised twice
+    And no engine memory is held and no room is reserved
+
+  Scenario: An upstream fails with all that it holds and recovers
+    When team "polishers" asks 6 times a second for 3000 prompt and 200 output tokens for 60 seconds
+    And 20 seconds pass
+    And upstream "decode-0" fails
+    And 10 seconds pass
+    And upstream "decode-0" recovers
+    And upstream "prefill-1" fails
+    And 15 seconds pass
+    And upstream "prefill-1" recovers
+    And 240 seconds pass
+    Then no engine memory was promised twice
+    And every request has exactly one answer
+    And at least 97 percent of the requests of team "polishers" were answered
+    And no engine memory is held and no room is reserved
