--- a/src/main/java/org/lacewingstep/blackboard/TokenDebits.java
+++ b/src/main/java/org/lacewingstep/blackboard/TokenDebits.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 
 import org.lacewingstep.domain.Incarnation;
@@ -39,7 +40,7 @@
      * @return the debits with it, never null
      */
     public TokenDebits with(final Part part) {
-        final List<Part> next = new java.util.ArrayList<>(parts);
+        final List<Part> next = new ArrayList<>(parts);
         next.add(part);
         return new TokenDebits(askedAt, next);
     }
--- a/src/main/java/org/lacewingstep/domain/Configuration.java
+++ b/src/main/java/org/lacewingstep/domain/Configuration.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.domain;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -67,7 +68,7 @@
     public List<Upstream> upstreamsOf(final ServiceName service) {
         return upstreams.values().stream()
                 .filter(upstream -> upstream.service().equals(service))
-                .sorted(java.util.Comparator.comparing(Upstream::name))
+                .sorted(Comparator.comparing(Upstream::name))
                 .toList();
     }
 
@@ -107,7 +108,7 @@
     public List<Upstream> upstreamsOf(final CellName cell) {
         return upstreams.values().stream()
                 .filter(upstream -> upstream.cell().equals(cell))
-                .sorted(java.util.Comparator.comparing(Upstream::name))
+                .sorted(Comparator.comparing(Upstream::name))
                 .toList();
     }
 
--- a/src/main/java/org/lacewingstep/peer/PeerNetwork.java
+++ b/src/main/java/org/lacewingstep/peer/PeerNetwork.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.peer;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -63,7 +64,7 @@
             socket.setReuseAddress(true);
             socket.bind(new InetSocketAddress(address.host(), address.port()));
             return socket;
-        } catch (final java.io.IOException failure) {
+        } catch (final IOException failure) {
             throw new RouterException(
                     ErrorCode.SETTINGS_INVALID,
                     "listen for peers",
@@ -78,7 +79,7 @@
         senders.values().forEach(PeerSender::close);
         try {
             server.close();
-        } catch (final java.io.IOException failure) {
+        } catch (final IOException failure) {
             LOGGER.debug("closing the peer address failed: {}", failure.getMessage());
         }
     }
@@ -110,7 +111,7 @@
             try {
                 final Socket socket = server.accept();
                 Thread.ofVirtual().name("peer-receiver").start(() -> receive(socket));
-            } catch (final java.io.IOException failure) {
+            } catch (final IOException failure) {
                 LOGGER.debug("peer listener: {}", failure.getMessage());
             }
         }
--- a/src/main/java/org/lacewingstep/platform/StoreClient.java
+++ b/src/main/java/org/lacewingstep/platform/StoreClient.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.platform;
 
+import java.io.IOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -173,7 +174,7 @@
         return Base64.getEncoder().encodeToString(key.getBytes(StandardCharsets.UTF_8));
     }
 
-    private static List<StoredValue> values(final JsonNode answer) throws java.io.IOException {
+    private static List<StoredValue> values(final JsonNode answer) throws IOException {
         final List<StoredValue> values = new ArrayList<>();
         for (final JsonNode pair : answer.path("kvs")) {
             final String key = new String(pair.path("key").binaryValue(), StandardCharsets.UTF_8);
--- a/src/main/java/org/lacewingstep/settings/InstanceSettings.java
+++ b/src/main/java/org/lacewingstep/settings/InstanceSettings.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Set;
+import java.util.TreeSet;
 
 import org.lacewingstep.blackboard.Policy;
 import org.lacewingstep.domain.FailureDomainName;
@@ -108,7 +109,7 @@
             final TomlTable table, final String key, final Set<String> allowed, final String substitute) {
         final String text = table.text(key, substitute);
         if (!allowed.contains(text)) {
-            table.fault(key, "must be one of " + new java.util.TreeSet<>(allowed));
+            table.fault(key, "must be one of " + new TreeSet<>(allowed));
         }
         return text;
     }
--- a/src/main/java/org/lacewingstep/settings/TomlTable.java
+++ b/src/main/java/org/lacewingstep/settings/TomlTable.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -42,7 +43,7 @@
         for (final Iterator<String> names = tree.fieldNames(); names.hasNext(); ) {
             final String name = names.next();
             if (!keys.contains(name)) {
-                fault(name, "is unknown; allowed are " + new java.util.TreeSet<>(keys));
+                fault(name, "is unknown; allowed are " + new TreeSet<>(keys));
             }
         }
     }
--- a/src/main/java/org/lacewingstep/traffic/OperatorHandlers.java
+++ b/src/main/java/org/lacewingstep/traffic/OperatorHandlers.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.traffic;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -21,9 +22,8 @@
     private static final int HTTP_OK = 200;
     private static final int HTTP_UNAVAILABLE = 503;
     private static final String JSON = "application/json";
-    private static final ObjectMapper MAPPER = new ObjectMapper()
-            .registerModule(new MetricsModule(
-                    java.util.concurrent.TimeUnit.SECONDS, java.util.concurrent.TimeUnit.MICROSECONDS, false));
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MICROSECONDS, false));
 
     @Override
     public void execute(final Chain chain) {
--- a/src/main/java/org/lacewingstep/traffic/PlainHandler.java
+++ b/src/main/java/org/lacewingstep/traffic/PlainHandler.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Set;
 
 import org.lacewingstep.blackboard.AttemptResult;
@@ -111,7 +112,7 @@
             spec.method(request.getMethod().getName());
             spec.readTimeout(silenceLimit);
             request.getHeaders().getNames().stream()
-                    .filter(name -> !DROPPED_HEADERS.contains(name.toLowerCase(java.util.Locale.ROOT)))
+                    .filter(name -> !DROPPED_HEADERS.contains(name.toLowerCase(Locale.ROOT)))
                     .forEach(name ->
                             spec.getHeaders().set(name, request.getHeaders().getAll(name)));
             spec.getHeaders().set(ErrorAnswer.REQUEST_HEADER, room.attempt().toString());
@@ -137,7 +138,7 @@
 
     private static void relay(final Context context, final RequestIdentifier request, final ReceivedResponse answer) {
         answer.getHeaders().getNames().stream()
-                .filter(name -> !DROPPED_HEADERS.contains(name.toLowerCase(java.util.Locale.ROOT)))
+                .filter(name -> !DROPPED_HEADERS.contains(name.toLowerCase(Locale.ROOT)))
                 .forEach(name -> context.getResponse()
                         .getHeaders()
                         .set(name, answer.getHeaders().getAll(name)));
--- a/src/main/java/org/lacewingstep/upstream/UpstreamClient.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamClient.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.upstream;
 
+import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -189,7 +190,7 @@
                 .put("stream", stream);
     }
 
-    private static LoadReport report(final String text) throws java.io.IOException {
+    private static LoadReport report(final String text) throws IOException {
         final JsonNode json = MAPPER.readTree(text);
         final List<LoadReport.HeldMemory> held = new ArrayList<>();
         for (final JsonNode running : json.path("running")) {
--- a/src/standin/java/org/lacewingstep/standin/DemoSite.java
+++ b/src/standin/java/org/lacewingstep/standin/DemoSite.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.standin;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -60,7 +61,7 @@
             try {
                 return DemoProcesses.freePort();
             } catch (final IOException failure) {
-                throw new java.io.UncheckedIOException(failure);
+                throw new UncheckedIOException(failure);
             }
         });
     }
--- a/src/standin/java/org/lacewingstep/standin/FaultRun.java
+++ b/src/standin/java/org/lacewingstep/standin/FaultRun.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.standin;
 
+import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -90,7 +91,7 @@
         try {
             final JsonNode body = DemoCaller.json(response.body());
             return body.has("error") ? body.path("error").path("code").asText() : "answered";
-        } catch (final java.io.IOException unreadable) {
+        } catch (final IOException unreadable) {
             return "unreadable";
         }
     }
--- a/src/standin/java/org/lacewingstep/standin/StoreStandIn.java
+++ b/src/standin/java/org/lacewingstep/standin/StoreStandIn.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.standin;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.HashMap;
@@ -63,7 +64,7 @@
         });
     }
 
-    private synchronized String apply(final Operation operation, final JsonNode request) throws java.io.IOException {
+    private synchronized String apply(final Operation operation, final JsonNode request) throws IOException {
         calls++;
         expireLeases();
         final ObjectNode result = operation.apply(request);
@@ -83,7 +84,7 @@
         });
     }
 
-    private ObjectNode delete(final JsonNode request) throws java.io.IOException {
+    private ObjectNode delete(final JsonNode request) throws IOException {
         final boolean existed = entries.remove(text(request.path("key"))) != null;
         return MAPPER.createObjectNode().put("deleted", existed ? "1" : "0");
     }
@@ -107,7 +108,7 @@
         return answer;
     }
 
-    private ObjectNode put(final JsonNode request) throws java.io.IOException {
+    private ObjectNode put(final JsonNode request) throws IOException {
         revision++;
         final Entry entry = new Entry(
                 request.path("value").binaryValue(),
@@ -117,7 +118,7 @@
         return MAPPER.createObjectNode();
     }
 
-    private ObjectNode range(final JsonNode request) throws java.io.IOException {
+    private ObjectNode range(final JsonNode request) throws IOException {
         final String key = text(request.path("key"));
         final NavigableMap<String, Entry> found = request.has("range_end")
                 ? entries.subMap(key, true, text(request.path("range_end")), false)
@@ -132,7 +133,7 @@
         return answer;
     }
 
-    private ObjectNode transact(final JsonNode request) throws java.io.IOException {
+    private ObjectNode transact(final JsonNode request) throws IOException {
         boolean succeeded = true;
         for (final JsonNode compare : request.path("compare")) {
             final Entry entry = entries.get(text(compare.path("key")));
@@ -147,7 +148,7 @@
         return MAPPER.createObjectNode().put("succeeded", succeeded);
     }
 
-    private static String text(final JsonNode node) throws java.io.IOException {
+    private static String text(final JsonNode node) throws IOException {
         return new String(node.binaryValue(), StandardCharsets.UTF_8);
     }
 
@@ -159,7 +160,7 @@
          * @param request the call's body, not null
          * @return the answer's body, never null
          */
-        ObjectNode apply(JsonNode request) throws java.io.IOException;
+        ObjectNode apply(JsonNode request) throws IOException;
     }
 
     private record Entry(byte[] value, long revision, long lease) {}
--- a/src/test/java/org/lacewingstep/command/CuttingService.java
+++ b/src/test/java/org/lacewingstep/command/CuttingService.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A plain service that breaks a call off at a chosen point and counts the calls that it has executed. */
@@ -75,7 +76,7 @@
         }
         int length = 0;
         for (String line = reader.readLine(); line != null && !line.isEmpty(); line = reader.readLine()) {
-            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
                 length = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
             }
         }
--- a/src/test/java/org/lacewingstep/controller/ArchitectureTest.java
+++ b/src/test/java/org/lacewingstep/controller/ArchitectureTest.java
@@ -1,5 +1,7 @@
 package org.lacewingstep.controller;
 
+import java.time.Instant;
+
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
@@ -57,7 +59,7 @@
                 .that()
                 .resideInAnyPackage(DECISIONS)
                 .should()
-                .callMethod(java.time.Instant.class, "now")
+                .callMethod(Instant.class, "now")
                 .orShould()
                 .callMethod(System.class, "nanoTime")
                 .orShould()
--- a/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
+++ b/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.peer;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -57,7 +58,7 @@
     @Test
     void coversEveryKindOfMessage() {
         assertThat(messages().stream().map(Object::getClass).distinct().count())
-                .isEqualTo(java.util.Arrays.stream(PeerMessage.class.getPermittedSubclasses())
+                .isEqualTo(Arrays.stream(PeerMessage.class.getPermittedSubclasses())
                         .count());
     }
 
--- a/src/test/java/org/lacewingstep/scenario/BudgetExperiment.java
+++ b/src/test/java/org/lacewingstep/scenario/BudgetExperiment.java
@@ -3,12 +3,15 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.SplittableRandom;
+import java.util.function.LongFunction;
 
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.ServiceSelector;
@@ -40,7 +43,7 @@
         }
     }
 
-    private static Result run(final Site site, final java.util.function.LongFunction<Result> way) {
+    private static Result run(final Site site, final LongFunction<Result> way) {
         Result sum = Result.NONE;
         for (long seed = 1; seed <= SEEDS; seed++) {
             sum = sum.plus(way.apply(seed));
@@ -86,7 +89,7 @@
             final TokenBucket[] shares = new TokenBucket[site.instances()];
             final double burst = divideBurst ? (double) team.burstTokens() / site.instances() : team.burstTokens();
             final double rate = (double) team.tokensPerSecond() / site.instances();
-            java.util.Arrays.fill(shares, TokenBucket.of(rate, burst, burst, VirtualTime.START));
+            Arrays.fill(shares, TokenBucket.of(rate, burst, burst, VirtualTime.START));
             buckets.put(team.name(), shares);
         }
         final VirtualTime time = new VirtualTime();
@@ -180,7 +183,7 @@
                 answers.stream().filter(FakeCallers.Answer::wrongful).count();
         final List<Duration> latencies = answers.stream()
                 .map(answer -> fleet.callers().admittedAfter().get(answer.request()))
-                .filter(java.util.Objects::nonNull)
+                .filter(Objects::nonNull)
                 .toList();
         final long seconds = fleet.time().now().getEpochSecond() - VirtualTime.START.getEpochSecond() - 60;
         return new Result(
--- a/src/test/java/org/lacewingstep/scenario/EffectTimes.java
+++ b/src/test/java/org/lacewingstep/scenario/EffectTimes.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 import org.lacewingstep.blackboard.Policy;
 import org.lacewingstep.domain.Configuration;
@@ -98,7 +99,7 @@
         fleet.platform().apply(current.withFailureDomains(domains));
     }
 
-    private static void printService(final String what, final java.util.function.Consumer<VirtualFleet> fault) {
+    private static void printService(final String what, final Consumer<VirtualFleet> fault) {
         final int[] counts = new int[FakeCallers.Kind.values().length];
         int all = 0;
         for (long seed = 1; seed <= SEEDS; seed++) {
--- a/src/test/java/org/lacewingstep/scenario/FakePlatform.java
+++ b/src/test/java/org/lacewingstep/scenario/FakePlatform.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.domain.Configuration;
@@ -162,7 +163,7 @@
         });
     }
 
-    private void call(final VirtualInstance caller, final java.util.function.Supplier<Event> operation) {
+    private void call(final VirtualInstance caller, final Supplier<Event> operation) {
         if (storeDown || cut.contains(caller.name())) {
             return;
         }
--- a/src/test/java/org/lacewingstep/settings/SettingsTest.java
+++ b/src/test/java/org/lacewingstep/settings/SettingsTest.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -99,7 +100,7 @@
     void keepsAFailureDomainOut() throws IOException {
         final FailureDomainName name = new FailureDomainName("Rundu");
         final Configuration first = compile(INVENTORY, RULES, Configuration.EMPTY);
-        final Configuration out = first.withFailureDomains(java.util.Map.of(name, new FailureDomain(name, true)));
+        final Configuration out = first.withFailureDomains(Map.of(name, new FailureDomain(name, true)));
         assertThat(compile(INVENTORY, RULES, out).failureDomains().get(name).takenOut())
                 .isTrue();
     }
