Keep the first part of an answer in the session that read it

The streamed and the whole answer each replayed the first part in a way of their own; the session keeps it now and both just ask for the next one. The deadline released a request in two branches alike. Behaviour stays; tests and demo pass unchanged.

--- a/src/main/java/org/lacewingstep/controller/RequestEnding.java
+++ b/src/main/java/org/lacewingstep/controller/RequestEnding.java
@@ -69,11 +69,10 @@
         if (state == null) {
             return board.requests();
         }
+        letGo(board, state, draft);
         if (isRunning(state) || state.everSent()) {
-            letGo(board, state, draft);
             return fail(board.requests(), state, ErrorCode.DEADLINE_EXCEEDED, "the request took too long", draft);
         }
-        letGo(board, state, draft);
         final boolean paying = state.phase() instanceof Phase.AwaitingTokens;
         final Refusal refusal = paying
                 ? Refusal.of(ErrorCode.HOME_UNREACHABLE, "no home of the team's budget answered in time")
--- a/src/main/java/org/lacewingstep/traffic/CallerStream.java
+++ b/src/main/java/org/lacewingstep/traffic/CallerStream.java
@@ -11,21 +11,16 @@
     private final GenerationSession session;
 
     private boolean ended;
-    private Optional<CompletionChunk> first;
-    private boolean started;
 
     /**
      * Creates a stream.
      *
      * @param request the request, not null
      * @param session the session, not null
-     * @param first the first part, which was read already, not null
      */
-    CallerStream(
-            final RequestIdentifier request, final GenerationSession session, final Optional<CompletionChunk> first) {
+    CallerStream(final RequestIdentifier request, final GenerationSession session) {
         this.request = request;
         this.session = session;
-        this.first = first;
     }
 
     /**
@@ -37,10 +32,7 @@
         if (ended) {
             return Promise.value(null);
         }
-        final Promise<Optional<CompletionChunk>> part = started ? session.next() : Promise.value(first);
-        started = true;
-        first = Optional.empty();
-        return part.map(this::frame).mapError(this::broken);
+        return session.next().map(this::frame).mapError(this::broken);
     }
 
     /** The stream ends without its end mark, so that the caller can tell. */
--- a/src/main/java/org/lacewingstep/traffic/CompletionHandler.java
+++ b/src/main/java/org/lacewingstep/traffic/CompletionHandler.java
@@ -2,18 +2,15 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
 
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.ServiceSelector;
 import org.lacewingstep.upstream.UpstreamClient;
 import org.lacewingstep.upstream.UpstreamClient.GenerationWork;
-import ratpack.exec.Promise;
 import ratpack.handling.Context;
 import ratpack.handling.Handler;
 import ratpack.sse.ServerSentEvents;
 import ratpack.stream.Streams;
-import ratpack.stream.TransformablePublisher;
 
 /** Answers completions, streamed or whole. */
 public final class CompletionHandler implements Handler {
@@ -62,42 +59,27 @@
             session.abandon();
             desk.close(request);
         });
-        session.next()
+        session.begin()
                 .onError(failure -> ErrorAnswer.send(context, request, failure))
-                .then(first -> {
+                .then(begun -> {
                     if (asked.stream()) {
-                        stream(context, request, session, first);
+                        stream(context, request, session);
                     } else {
-                        whole(context, request, session, first);
+                        whole(context, request, session);
                     }
                 });
     }
 
-    private static TransformablePublisher<CompletionChunk> chunks(
-            final GenerationSession session, final Optional<CompletionChunk> first) {
-        return Streams.flatYield(turn -> turn.getRequestNum() == 0
-                ? Promise.value(first.orElse(null))
-                : session.next().map(chunk -> chunk.orElse(null)));
-    }
-
-    private void stream(
-            final Context context,
-            final RequestIdentifier request,
-            final GenerationSession session,
-            final Optional<CompletionChunk> first) {
+    private void stream(final Context context, final RequestIdentifier request, final GenerationSession session) {
         context.getResponse().getHeaders().set(ErrorAnswer.REQUEST_HEADER, request.value());
-        final CallerStream frames = new CallerStream(request, session, first);
+        final CallerStream frames = new CallerStream(request, session);
         context.render(ServerSentEvents.serverSentEvents(
                 Streams.flatYield(turn -> frames.next()),
                 event -> event.id(CallerFrame::identifier).data(CallerFrame::data)));
     }
 
-    private void whole(
-            final Context context,
-            final RequestIdentifier request,
-            final GenerationSession session,
-            final Optional<CompletionChunk> first) {
-        chunks(session, first)
+    private void whole(final Context context, final RequestIdentifier request, final GenerationSession session) {
+        Streams.flatYield(turn -> session.next().map(part -> part.orElse(null)))
                 .toList()
                 .onError(failure -> ErrorAnswer.send(context, request, failure))
                 .then(parts -> {
--- a/src/main/java/org/lacewingstep/traffic/GenerationSession.java
+++ b/src/main/java/org/lacewingstep/traffic/GenerationSession.java
@@ -37,6 +37,7 @@
     private long attemptTokens;
     private boolean ended;
     private String finishReason = "";
+    private Optional<CompletionChunk> kept = Optional.empty();
     private Reservation reservation;
     private PullSubscriber<ratpack.sse.Event<?>> source;
     private long tokens;
@@ -81,6 +82,11 @@
      * @return the part, empty after the last one; fails with a {@link RequestFailure} if there is no answer
      */
     Promise<Optional<CompletionChunk>> next() {
+        if (kept.isPresent()) {
+            final Optional<CompletionChunk> first = kept;
+            kept = Optional.empty();
+            return Promise.value(first);
+        }
         if (ended) {
             return Promise.value(Optional.empty());
         }
@@ -90,6 +96,18 @@
         return source.next().flatMap(this::interpret);
     }
 
+    /**
+     * Waits until the answer has begun; its first part stays with {@link #next()}.
+     *
+     * @return whether there is a first part; fails with a {@link RequestFailure} if there is no answer
+     */
+    Promise<Boolean> begin() {
+        return next().map(first -> {
+            kept = first;
+            return first.isPresent();
+        });
+    }
+
     private Promise<Optional<CompletionChunk>> interpret(final Signal<ratpack.sse.Event<?>> signal) {
         return switch (signal) {
             case Signal.Item<ratpack.sse.Event<?>> item ->
