--- a/src/main/java/org/lacewingstep/blackboard/Blackboard.java
+++ b/src/main/java/org/lacewingstep/blackboard/Blackboard.java
@@ -14,6 +14,7 @@
  * @param teamBudgets the team budgets that this process is home of, not null
  * @param cells the cells that this process is home of, not null
  * @param lifecycle whether this process is starting, ready or draining, not null
+ * @param serving what serves calls by the registry of the platform, not null
  */
 public record Blackboard(
         Identity identity,
@@ -24,7 +25,8 @@
         TokenRequestSection tokenRequests,
         TeamBudgetSection teamBudgets,
         CellSection cells,
-        LifecycleSection lifecycle) {
+        LifecycleSection lifecycle,
+        ServingBoard serving) {
     /** Checks that every section is present. */
     public Blackboard {
         Validate.notNull(identity, "identity");
@@ -36,6 +38,7 @@
         Validate.notNull(teamBudgets, "team budgets");
         Validate.notNull(cells, "cells");
         Validate.notNull(lifecycle, "lifecycle");
+        Validate.notNull(serving, "serving");
     }
 
     /**
@@ -54,7 +57,8 @@
                 TokenRequestSection.INITIAL,
                 TeamBudgetSection.INITIAL,
                 CellSection.INITIAL,
-                LifecycleSection.INITIAL);
+                LifecycleSection.INITIAL,
+                ServingBoard.INITIAL);
     }
 
     /**
@@ -66,19 +70,17 @@
     public Blackboard with(final Section section) {
         return switch (section) {
             case ConfigurationSection next ->
-                new Blackboard(
-                        identity, next, membership, upstreams, requests, tokenRequests, teamBudgets, cells, lifecycle);
-            case MembershipSection next ->
                 new Blackboard(
                         identity,
-                        configuration,
                         next,
+                        membership,
                         upstreams,
                         requests,
                         tokenRequests,
                         teamBudgets,
                         cells,
-                        lifecycle);
+                        lifecycle,
+                        serving);
             case UpstreamSection next ->
                 new Blackboard(
                         identity,
@@ -89,7 +91,8 @@
                         tokenRequests,
                         teamBudgets,
                         cells,
-                        lifecycle);
+                        lifecycle,
+                        serving);
             case RequestSection next ->
                 new Blackboard(
                         identity,
@@ -100,11 +103,21 @@
                         tokenRequests,
                         teamBudgets,
                         cells,
-                        lifecycle);
-            case TokenRequestSection next ->
+                        lifecycle,
+                        serving);
+            case LifecycleSection next ->
                 new Blackboard(
-                        identity, configuration, membership, upstreams, requests, next, teamBudgets, cells, lifecycle);
-            case TeamBudgetSection next ->
+                        identity,
+                        configuration,
+                        membership,
+                        upstreams,
+                        requests,
+                        tokenRequests,
+                        teamBudgets,
+                        cells,
+                        next,
+                        serving);
+            case ServingSection next ->
                 new Blackboard(
                         identity,
                         configuration,
@@ -112,10 +125,41 @@
                         upstreams,
                         requests,
                         tokenRequests,
+                        teamBudgets,
+                        cells,
+                        lifecycle,
+                        serving.with(next));
+            case HomeSection next -> withHome(next);
+        };
+    }
+
+    private Blackboard withHome(final HomeSection section) {
+        return switch (section) {
+            case MembershipSection next ->
+                new Blackboard(
+                        identity,
+                        configuration,
+                        next,
+                        upstreams,
+                        requests,
+                        tokenRequests,
+                        teamBudgets,
+                        cells,
+                        lifecycle,
+                        serving);
+            case TokenRequestSection next ->
+                new Blackboard(
+                        identity,
+                        configuration,
+                        membership,
+                        upstreams,
+                        requests,
                         next,
+                        teamBudgets,
                         cells,
-                        lifecycle);
-            case CellSection next ->
+                        lifecycle,
+                        serving);
+            case TeamBudgetSection next ->
                 new Blackboard(
                         identity,
                         configuration,
@@ -123,10 +167,11 @@
                         upstreams,
                         requests,
                         tokenRequests,
-                        teamBudgets,
                         next,
-                        lifecycle);
-            case LifecycleSection next ->
+                        cells,
+                        lifecycle,
+                        serving);
+            case CellSection next ->
                 new Blackboard(
                         identity,
                         configuration,
@@ -135,8 +180,9 @@
                         requests,
                         tokenRequests,
                         teamBudgets,
-                        cells,
-                        next);
+                        next,
+                        lifecycle,
+                        serving);
         };
     }
 }
--- /dev/null
+++ b/src/main/java/org/lacewingstep/blackboard/CallInstruction.java
@@ -0,0 +1,53 @@
+package org.lacewingstep.blackboard;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+import org.lacewingstep.domain.RegisteredUpstream;
+import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.error.ErrorCode;
+
+/** What the traffic side has to do next for a call. */
+public sealed interface CallInstruction {
+    /**
+     * Send the request to an upstream.
+     *
+     * @param attempt the number of the attempt, from one
+     * @param upstream the upstream that answers, not null
+     * @param prefill the upstream that processes the prompt first, empty if the same one does
+     * @param team the caller's team, empty on an open route
+     * @param deadline when the answer is due at the latest, not null
+     * @param silenceLimit how long the upstream may send nothing before the attempt is given up, not null
+     * @param streams whether the answer is a stream of events
+     * @param connectionLimit most connections of this instance to one upstream
+     */
+    record Send(
+            int attempt,
+            RegisteredUpstream upstream,
+            Optional<RegisteredUpstream> prefill,
+            Optional<TeamName> team,
+            Instant deadline,
+            Duration silenceLimit,
+            boolean streams,
+            int connectionLimit)
+            implements CallInstruction {}
+
+    /** Pass on the failure that the upstream answered with. */
+    record PassFailureOn() implements CallInstruction {}
+
+    /**
+     * Tell the caller that the request was not run.
+     *
+     * @param refusal the reason, not null
+     */
+    record Refuse(Refusal refusal) implements CallInstruction {}
+
+    /**
+     * Tell the caller that the request failed and may have run.
+     *
+     * @param code the code, not null
+     * @param message what a caller may read, not null
+     */
+    record Fail(ErrorCode code, String message) implements CallInstruction {}
+}
--- a/src/main/java/org/lacewingstep/blackboard/CellSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/CellSection.java
@@ -24,7 +24,7 @@
  * @param reported reservations that members reported for an epoch, not null
  */
 public record CellSection(PMap<CellName, CellState> cells, PMap<Incarnation, ReportedReservations> reported)
-        implements Section {
+        implements HomeSection {
     /** The section of a process that starts. */
     public static final CellSection INITIAL = new CellSection(HashTreePMap.empty(), HashTreePMap.empty());
 
--- a/src/main/java/org/lacewingstep/blackboard/Effect.java
+++ b/src/main/java/org/lacewingstep/blackboard/Effect.java
@@ -1,9 +1,11 @@
 package org.lacewingstep.blackboard;
 
+import java.time.Duration;
 import java.time.Instant;
 
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.IdempotencyKey;
+import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Roster;
@@ -96,4 +98,49 @@
 
     /** End the process. */
     record StopProcess() implements Effect {}
+
+    /** An effect of a process that serves the registry of a platform. */
+    sealed interface SiteEffect extends Effect {}
+
+    /**
+     * Tell the traffic side what to do for a call.
+     *
+     * @param request the request, not null
+     * @param instruction what to do, not null
+     */
+    record InstructCall(RequestIdentifier request, CallInstruction instruction) implements SiteEffect {}
+
+    /** Read everything that concerns this process from the store of the platform. */
+    record ReadStore() implements SiteEffect {}
+
+    /**
+     * Wait for changes in the store of the platform.
+     *
+     * @param revision the revision after which changes are wanted
+     * @param longestWait how long to wait for one, not null
+     */
+    record AwaitStoreChanges(long revision, Duration longestWait) implements SiteEffect {}
+
+    /**
+     * Ask the store of the platform whether a routing table is still the newest.
+     *
+     * @param revision the revision of the table, zero for none
+     */
+    record ProveTable(long revision) implements SiteEffect {}
+
+    /**
+     * Renew the lease under which this instance is present in the store of the platform.
+     *
+     * @param instance this instance, not null
+     * @param lease the lease, zero to take a new one
+     * @param life how long the lease lasts, not null
+     */
+    record RenewPresence(InstanceName instance, long lease, Duration life) implements SiteEffect {}
+
+    /**
+     * Write a decision to the log.
+     *
+     * @param decision the decision, not null
+     */
+    record Log(Decision decision) implements SiteEffect {}
 }
--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -1,6 +1,8 @@
 package org.lacewingstep.blackboard;
 
+import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -8,8 +10,11 @@
 import org.lacewingstep.domain.Configuration;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.LoadReport;
+import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.RoutingTable;
+import org.lacewingstep.domain.SitePolicy;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
 
@@ -213,4 +218,149 @@
      * @param succeeded whether it served the attempt
      */
     record UpstreamServed(UpstreamName upstream, boolean succeeded) implements Event {}
+
+    /**
+     * The settings of a process that serves the registry of a platform were read.
+     *
+     * @param policy the bounds of the site, not null
+     * @param firstStart whether the whole site starts together with this process
+     */
+    record SiteConfigured(SitePolicy policy, boolean firstStart) implements Event {}
+
+    /**
+     * The settings were read again.
+     *
+     * @param policy the bounds of the site, not null
+     */
+    record SiteReloaded(SitePolicy policy) implements Event {}
+
+    /**
+     * The clock has skipped time in which the process may have been suspended.
+     *
+     * @param by the time skipped, not null
+     */
+    record ClockSkipped(Duration by) implements Event {}
+
+    /**
+     * Everything that concerns this process was read from the store.
+     *
+     * @param content what the store holds, as changes against nothing, not null
+     * @param revision the store's revision, at or before which all of it holds
+     * @param askedAt when the store was asked, not null
+     */
+    record StoreRead(List<StoreChange> content, long revision, Instant askedAt) implements Event {}
+
+    /**
+     * The store reported changes, or that there are none.
+     *
+     * @param changes the changes in order, not null
+     * @param revision the store's revision up to which changes are known
+     */
+    record StoreChanged(List<StoreChange> changes, long revision) implements Event {}
+
+    /**
+     * The reading of the store broke off.
+     *
+     * @param historyLost whether changes are missing, so that everything has to be read again
+     * @param reason what went wrong, not null
+     */
+    record StoreFeedBroken(boolean historyLost, String reason) implements Event {}
+
+    /**
+     * The store proved which routing table is the newest.
+     *
+     * @param newer the table, empty if the one that was asked about is the newest
+     * @param revision the revision of the newest
+     * @param askedAt when the store was asked, not null
+     */
+    record TableProved(Optional<RoutingTable> newer, long revision, Instant askedAt) implements Event {}
+
+    /**
+     * The store could not be asked for the newest routing table.
+     *
+     * @param reason what went wrong, not null
+     */
+    record TableUnproved(String reason) implements Event {}
+
+    /**
+     * The lease under which this instance is present was granted or renewed.
+     *
+     * @param lease the lease
+     */
+    record PresenceRenewed(long lease) implements Event {}
+
+    /**
+     * The lease under which this instance is present was not renewed.
+     *
+     * @param lapsed whether the store says that it has lapsed
+     */
+    record PresenceUnrenewed(boolean lapsed) implements Event {}
+
+    /**
+     * A call was read from its caller.
+     *
+     * @param demand what it asks for, not null
+     */
+    record CallArrived(CallDemand demand) implements Event {}
+
+    /**
+     * A caller has gone before its call was answered.
+     *
+     * @param request the request, not null
+     */
+    record CallAbandoned(RequestIdentifier request) implements Event {}
+
+    /**
+     * An attempt of a call has ended.
+     *
+     * @param request the request, not null
+     * @param attempt the number of the attempt
+     * @param result how it ended, not null
+     */
+    record CallAttemptEnded(RequestIdentifier request, int attempt, CallResult result) implements Event {}
+
+    /**
+     * An upstream has processed the prompt of a call, or has failed to.
+     *
+     * @param request the request, not null
+     * @param attempt the number of the attempt
+     * @param result how it ended, not null
+     */
+    record PrefillEnded(RequestIdentifier request, int attempt, CallResult result) implements Event {}
+
+    /**
+     * An upstream has sent nothing for longer than usual; the attempt goes on.
+     *
+     * @param upstream the upstream, not null
+     */
+    record UpstreamQuiet(UpstreamName upstream) implements Event {}
+
+    /**
+     * A request is sent to an upstream.
+     *
+     * @param upstream the upstream, not null
+     */
+    record UpstreamOccupied(RegisteredUpstream upstream) implements Event {}
+
+    /**
+     * A request sent to an upstream has ended.
+     *
+     * @param upstream the upstream, not null
+     * @param result how it ended, empty if the caller gave it up
+     */
+    record UpstreamReleased(UpstreamName upstream, Optional<CallResult> result) implements Event {}
+
+    /**
+     * A call spends units of its team, or gives them back.
+     *
+     * @param team the team, not null
+     * @param units the units, negative to give back
+     */
+    record AllowanceSpent(TeamName team, long units) implements Event {}
+
+    /** A call is sent to an upstream for the first time. */
+    record FirstSend() implements Event {}
+
+    /** A call is sent to an upstream once more. */
+    record RepeatSend() implements Event {}
 }
--- a/src/main/java/org/lacewingstep/blackboard/MembershipSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/MembershipSection.java
@@ -20,7 +20,7 @@
  * @param platformView what the platform shows of the members, not null
  */
 public record MembershipSection(Agreement agreement, Standing standing, PeerView peerView, PlatformView platformView)
-        implements Section {
+        implements HomeSection {
     /** The section of a process that starts. */
     public static final MembershipSection INITIAL =
             new MembershipSection(Agreement.NONE, Standing.NONE, PeerView.EMPTY, PlatformView.EMPTY);
--- a/src/main/java/org/lacewingstep/blackboard/Section.java
+++ b/src/main/java/org/lacewingstep/blackboard/Section.java
@@ -2,11 +2,4 @@
 
 /** A part of the blackboard that exactly one controller writes. */
 public sealed interface Section
-        permits CellSection,
-                ConfigurationSection,
-                LifecycleSection,
-                MembershipSection,
-                RequestSection,
-                TeamBudgetSection,
-                TokenRequestSection,
-                UpstreamSection {}
+        permits ConfigurationSection, HomeSection, LifecycleSection, RequestSection, ServingSection, UpstreamSection {}
--- a/src/main/java/org/lacewingstep/blackboard/TeamBudgetSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/TeamBudgetSection.java
@@ -18,7 +18,7 @@
  * @param handedOver levels received for an epoch that has not settled here, not null
  */
 public record TeamBudgetSection(PMap<SlotKey, SlotBudget> budgets, PMap<SlotKey, HandedOver> handedOver)
-        implements Section {
+        implements HomeSection {
     /** The section of a process that starts. */
     public static final TeamBudgetSection INITIAL = new TeamBudgetSection(HashTreePMap.empty(), HashTreePMap.empty());
 
--- a/src/main/java/org/lacewingstep/blackboard/TimerKey.java
+++ b/src/main/java/org/lacewingstep/blackboard/TimerKey.java
@@ -51,4 +51,27 @@
 
     /** Refuses requests that wait too long in cells, and audits reservations. */
     record CellCheck() implements TimerKey {}
+
+    /** Asks the store whether the routing table is still the newest. */
+    record TableProof() implements TimerKey {}
+
+    /** Reads the store again after a failure. */
+    record StoreFeed() implements TimerKey {}
+
+    /** Renews the lease under which this instance is present. */
+    record Presence() implements TimerKey {}
+
+    /**
+     * Ends a call that is too late.
+     *
+     * @param request the request, not null
+     */
+    record CallDeadline(RequestIdentifier request) implements TimerKey {}
+
+    /**
+     * Looks for an upstream for a call that waits.
+     *
+     * @param request the request, not null
+     */
+    record CallQueue(RequestIdentifier request) implements TimerKey {}
 }
--- a/src/main/java/org/lacewingstep/blackboard/TokenRequestSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/TokenRequestSection.java
@@ -22,7 +22,7 @@
         PMap<Long, Question> questions,
         PMap<Long, Question> abandoned,
         long nextQuestion)
-        implements Section {
+        implements HomeSection {
     /** The section of a process that starts. */
     public static final TokenRequestSection INITIAL =
             new TokenRequestSection(HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), 0);
--- a/src/main/java/org/lacewingstep/command/ConfigurationEditor.java
+++ b/src/main/java/org/lacewingstep/command/ConfigurationEditor.java
@@ -10,9 +10,9 @@
 import org.lacewingstep.domain.Configuration;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
-import org.lacewingstep.platform.ConfigurationStore;
-import org.lacewingstep.platform.ConfigurationStore.StoredHead;
-import org.lacewingstep.platform.StoreClient;
+import org.lacewingstep.etcd.ConfigurationStore;
+import org.lacewingstep.etcd.ConfigurationStore.StoredHead;
+import org.lacewingstep.etcd.StoreClient;
 import ratpack.exec.Promise;
 
 /** Changes the configuration in the store by compare-and-swap. */
--- /dev/null
+++ b/src/main/java/org/lacewingstep/command/JoinCommand.java
@@ -0,0 +1,36 @@
+package org.lacewingstep.command;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs an instance on a platform until it is told to stop. */
+@Command(
+        name = "join",
+        mixinStandardHelpOptions = true,
+        description = "Runs an instance on a platform that keeps routes and upstreams in its store.")
+final class JoinCommand implements Callable<Integer> {
+    @Option(names = "--settings", required = true, description = "the platform's settings file, JSON")
+    private Path settings;
+
+    @Option(
+            names = "--metrics-port",
+            defaultValue = "9464",
+            description = "port of metrics and state dump (default: ${DEFAULT-VALUE})")
+    private int metricsPort;
+
+    @Option(names = "--log-level", defaultValue = "info", description = "lowest level logged")
+    private String logLevel;
+
+    @Override
+    public Integer call() throws Exception {
+        LogSetup.configureBounded(logLevel);
+        try (SiteProcess process = new SiteProcess(settings, metricsPort)) {
+            process.start();
+            process.awaitStop();
+        }
+        return 0;
+    }
+}
--- a/src/main/java/org/lacewingstep/command/Main.java
+++ b/src/main/java/org/lacewingstep/command/Main.java
@@ -15,6 +15,7 @@
             ApplyCommand.class,
             CheckCommand.class,
             DomainCommand.class,
+            JoinCommand.class,
             ServeCommand.class,
             StateCommand.class,
             TeamCommand.class,
--- a/src/main/java/org/lacewingstep/command/TeamCommand.java
+++ b/src/main/java/org/lacewingstep/command/TeamCommand.java
@@ -10,7 +10,6 @@
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
-import org.lacewingstep.traffic.RequestDesk;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
@@ -37,8 +36,7 @@
         final byte[] random = new byte[KEY_BYTES];
         new SecureRandom().nextBytes(random);
         final String key = HexFormat.of().formatHex(random);
-        ConfigurationEditor.edit(
-                store.address(), current -> grant(current, RequestDesk.digest(key), new TeamName(name)));
+        ConfigurationEditor.edit(store.address(), current -> grant(current, KeyDigest.of(key), new TeamName(name)));
         spec.commandLine().getOut().println(key);
         return 0;
     }
@@ -53,7 +51,7 @@
     @Command(name = "withdraw-key", mixinStandardHelpOptions = true, description = "Withdraws a key.")
     int withdrawKey(@Mixin final StoreOption store, @Parameters(paramLabel = "KEY") final String key) {
         final long generation =
-                ConfigurationEditor.edit(store.address(), current -> withdraw(current, RequestDesk.digest(key)));
+                ConfigurationEditor.edit(store.address(), current -> withdraw(current, KeyDigest.of(key)));
         spec.commandLine().getOut().println("generation " + generation + " is in the store");
         return 0;
     }
--- a/src/main/java/org/lacewingstep/control/ControlThread.java
+++ b/src/main/java/org/lacewingstep/control/ControlThread.java
@@ -19,6 +19,10 @@
 /** The only thread that changes the blackboard; it waits for the next event or timer. */
 public final class ControlThread {
     private static final Duration LONGEST_WAIT = Duration.ofMinutes(1);
+
+    /** Drift of the time of day that shows a suspended machine or a step of its clock, above scheduling delays. */
+    private static final Duration SKIP_THRESHOLD = Duration.ofMillis(100);
+
     private static final Logger LOGGER = LoggerFactory.getLogger(ControlThread.class);
 
     private final MonotonicClock clock;
@@ -109,6 +113,14 @@
     }
 
     private void step(final Event event) {
+        final Duration drift = clock.drift();
+        if (drift.abs().compareTo(SKIP_THRESHOLD) > 0) {
+            decide(new Event.ClockSkipped(drift));
+        }
+        decide(event);
+    }
+
+    private void decide(final Event event) {
         try (Timer.Context ignored = stepTimer.time()) {
             final Step step = BlackboardStepper.step(board, event, clock.now());
             board = step.board();
--- a/src/main/java/org/lacewingstep/control/EffectDispatcher.java
+++ b/src/main/java/org/lacewingstep/control/EffectDispatcher.java
@@ -1,8 +1,8 @@
 package org.lacewingstep.control;
 
 import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.etcd.PlatformAdapter;
 import org.lacewingstep.peer.PeerNetwork;
-import org.lacewingstep.platform.PlatformAdapter;
 import org.lacewingstep.traffic.InstructionRouter;
 import org.lacewingstep.upstream.LoadAdapter;
 
@@ -37,6 +37,7 @@
             case Effect.ClaimKey(var request, var team, var key) -> platform.claim(request, team, key);
             case Effect.ReleaseClaim(var request, var team, var key) -> platform.releaseClaim(request, team, key);
             case Effect.StopProcess() -> stopProcess.run();
+            case Effect.SiteEffect site -> throw new IllegalArgumentException("no platform to carry out " + site);
         }
     }
 }
--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -24,7 +24,13 @@
             new TeamBudgetController(),
             new CellController(),
             new TokenRequestController(),
-            new RequestController());
+            new RequestController(),
+            new SiteController(),
+            new RoutingController(),
+            new RegistryController(),
+            new UpstreamLoadController(),
+            new AllowanceController(),
+            new CallController());
 
     private BlackboardStepper() {}
 
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/CallAdmission.java
@@ -0,0 +1,168 @@
+package org.lacewingstep.controller;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.Set;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.CallDemand;
+import org.lacewingstep.blackboard.CallSection.Call;
+import org.lacewingstep.blackboard.CallSection.CallPhase;
+import org.lacewingstep.blackboard.Refusal;
+import org.lacewingstep.blackboard.RoutingSection;
+import org.lacewingstep.domain.Route;
+import org.lacewingstep.domain.RoutingTable;
+import org.lacewingstep.domain.TeamAllowance;
+import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.domain.TokenBucket;
+import org.lacewingstep.error.ErrorCode;
+
+/** Decides whether a call is allowed: its route, its key, and what its team may still ask for. */
+final class CallAdmission {
+    /** Part of the time to withdraw a key that is kept for the way of a request to this instance. */
+    private static final Duration WITHDRAWAL_MARGIN = Duration.ofMillis(250);
+
+    /** Share of the time to withdraw a key after which an instance without a proof takes no new callers. */
+    private static final double READY_SHARE = 0.6;
+
+    /** When to come back to an instance that has not read the store. */
+    private static final Duration STORE_RETRY = Duration.ofMillis(400);
+
+    private CallAdmission() {}
+
+    /** Whether a call is allowed. */
+    sealed interface Verdict {
+        /**
+         * It is allowed.
+         *
+         * @param call the call, not null
+         */
+        record Admitted(Call call) implements Verdict {}
+
+        /**
+         * It is not allowed or cannot be judged; it was not run.
+         *
+         * @param refusal the reason, not null
+         */
+        record Refused(Refusal refusal) implements Verdict {}
+    }
+
+    /**
+     * Judges a call.
+     *
+     * @param board the blackboard, not null
+     * @param demand the call, not null
+     * @param now the present time, not null
+     * @return whether it is allowed, never null
+     */
+    static Verdict judge(final Blackboard board, final CallDemand demand, final Instant now) {
+        final RoutingSection routing = board.serving().routing();
+        final RoutingTable table = routing.table();
+        final boolean proved = isProved(board, now);
+        if (!table.isPresent() || board.serving().registry().revision().isEmpty() && !proved) {
+            return unread("the routing table is not known yet");
+        }
+        final Optional<Route> route = table.route(demand.host(), demand.path());
+        if (route.isEmpty()) {
+            return proved
+                    ? refused(ErrorCode.SERVICE_UNKNOWN, "no route matches host and path")
+                    : unread("the routing table may be out of date");
+        }
+        if (route.get().open()) {
+            return new Verdict.Admitted(call(demand, route.get(), Optional.empty(), 0));
+        }
+        if (!proved) {
+            return unread("keys may have been withdrawn");
+        }
+        final Optional<TeamName> team = demand.key().map(table.keys()::get);
+        if (team.isEmpty()) {
+            return refused(ErrorCode.KEY_UNKNOWN, "the key is not known");
+        }
+        return withinRate(board, demand, route.get(), team.get(), now);
+    }
+
+    private static Verdict withinRate(
+            final Blackboard board,
+            final CallDemand demand,
+            final Route route,
+            final TeamName team,
+            final Instant now) {
+        final TeamAllowance allowance =
+                board.serving().routing().table().teams().get(team);
+        final long units = allowance == null || !allowance.countsTokens()
+                ? 1
+                : demand.tokens().orElse(allowance.plainUnits());
+        final Optional<TokenBucket> bucket = AllowanceShare.bucket(board, team, now);
+        if (bucket.isPresent()
+                && bucket.get().level() < Math.min(units, bucket.get().capacity())) {
+            final Duration wait =
+                    bucket.get().timeUntil(Math.min(units, bucket.get().capacity()));
+            return new Verdict.Refused(new Refusal(ErrorCode.RATE_EXCEEDED, "the team's rate is exceeded", wait));
+        }
+        return new Verdict.Admitted(call(demand, route, Optional.of(team), units));
+    }
+
+    private static Call call(
+            final CallDemand demand, final Route route, final Optional<TeamName> team, final long units) {
+        final Duration limit =
+                demand.patience().compareTo(route.timeLimit()) < 0 ? demand.patience() : route.timeLimit();
+        final Instant deadline = demand.receivedAt().plus(limit);
+        return new Call(
+                demand,
+                route,
+                route.serviceOf(demand.request()),
+                team,
+                units,
+                deadline,
+                0,
+                Set.of(),
+                false,
+                new CallPhase.Queued(deadline));
+    }
+
+    /**
+     * Tells whether a call that waited may still be sent: its key was not withdrawn meanwhile.
+     *
+     * @param board the blackboard, not null
+     * @param call the call, not null
+     * @param now the present time, not null
+     * @return true if it may
+     */
+    static boolean mayStillRun(final Blackboard board, final Call call, final Instant now) {
+        if (call.team().isEmpty()) {
+            return true;
+        }
+        final Optional<TeamName> team =
+                call.demand().key().map(board.serving().routing().table().keys()::get);
+        return isProved(board, now) && team.equals(call.team());
+    }
+
+    /**
+     * Tells whether new callers should come to this instance.
+     *
+     * @param board the blackboard, not null
+     * @param now the present time, not null
+     * @return true if it has read the store and proved its routing table recently
+     */
+    static boolean isReady(final Blackboard board, final Instant now) {
+        final Duration limit = board.serving().site().bounds().withdrawalLimit();
+        final Duration recent = Duration.ofNanos((long) (limit.toNanos() * READY_SHARE));
+        return board.serving().routing().table().isPresent()
+                && board.serving().routing().isProved(recent, now)
+                && !board.serving().registry().upstreams().isEmpty();
+    }
+
+    private static boolean isProved(final Blackboard board, final Instant now) {
+        final Duration limit = board.serving().site().bounds().withdrawalLimit().minus(WITHDRAWAL_MARGIN);
+        return board.serving().routing().isProved(limit, now);
+    }
+
+    private static Verdict unread(final String message) {
+        return new Verdict.Refused(new Refusal(ErrorCode.NOT_READY, message, STORE_RETRY));
+    }
+
+    private static Verdict refused(final ErrorCode code, final String message) {
+        return new Verdict.Refused(Refusal.of(code, message));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/CallController.java
@@ -0,0 +1,147 @@
+package org.lacewingstep.controller;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.CallDemand;
+import org.lacewingstep.blackboard.CallInstruction;
+import org.lacewingstep.blackboard.CallResult;
+import org.lacewingstep.blackboard.CallSection;
+import org.lacewingstep.blackboard.CallSection.Call;
+import org.lacewingstep.blackboard.CallSection.CallPhase;
+import org.lacewingstep.blackboard.Decision;
+import org.lacewingstep.blackboard.Decision.Input;
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.Outcome;
+import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.domain.RequestIdentifier;
+
+/** Answers calls: admits them, sends them to upstreams, and decides what follows when an attempt ends. */
+public final class CallController implements Controller<CallSection> {
+    @Override
+    public Class<CallSection> section() {
+        return CallSection.class;
+    }
+
+    @Override
+    public Outcome<CallSection> step(final Blackboard board, final Event event, final Instant now) {
+        return switch (event) {
+            case Event.CallArrived(CallDemand demand) -> arrive(board, demand, now);
+            case Event.CallAttemptEnded(RequestIdentifier request, int attempt, CallResult result) ->
+                find(board, request)
+                        .filter(call -> isCurrent(call, attempt))
+                        .map(call -> CallEnding.end(board, call, result, now))
+                        .orElseGet(() -> unchanged(board));
+            case Event.PrefillEnded(RequestIdentifier request, int attempt, CallResult result) ->
+                find(board, request)
+                        .filter(call -> isCurrent(call, attempt))
+                        .map(call -> prefilled(board, call, result))
+                        .orElseGet(() -> unchanged(board));
+            case Event.CallAbandoned(RequestIdentifier request) ->
+                find(board, request).map(call -> abandon(board, call)).orElseGet(() -> unchanged(board));
+            case Event.TimerFired(TimerKey.CallDeadline(RequestIdentifier request)) ->
+                find(board, request)
+                        .map(call -> CallEnding.late(board, call, now))
+                        .orElseGet(() -> unchanged(board));
+            case Event.TimerFired(TimerKey.CallQueue(RequestIdentifier request)) ->
+                find(board, request)
+                        .filter(call -> call.phase() instanceof CallPhase.Queued)
+                        .map(call -> CallPlacement.place(board, call, new Draft(), now))
+                        .orElseGet(() -> unchanged(board));
+            default -> unchanged(board);
+        };
+    }
+
+    private static Outcome<CallSection> arrive(final Blackboard board, final CallDemand demand, final Instant now) {
+        final Draft draft = new Draft();
+        return switch (CallAdmission.judge(board, demand, now)) {
+            case CallAdmission.Verdict.Refused(var refusal) -> {
+                draft.add(new Effect.Log(Decision.on(
+                        "admission",
+                        demand.request(),
+                        "refused " + refusal.code(),
+                        Input.of("reason", refusal.message()),
+                        Input.of("version", board.serving().routing().table().version()),
+                        Input.of("proof_age_ms", proofAge(board, now)))));
+                draft.add(new Effect.InstructCall(demand.request(), new CallInstruction.Refuse(refusal)));
+                yield draft.outcome(board.serving().calls());
+            }
+            case CallAdmission.Verdict.Admitted(Call call) -> {
+                final Instant patience = now.plus(CallPlacement.queuePatience(call, now));
+                draft.add(new Effect.StartTimer(new TimerKey.CallDeadline(demand.request()), call.deadline()));
+                yield CallPlacement.place(board, call.in(new CallPhase.Queued(patience)), draft, now);
+            }
+        };
+    }
+
+    private static long proofAge(final Blackboard board, final Instant now) {
+        return board.serving()
+                .routing()
+                .confirmedAt()
+                .map(at -> Duration.between(at, now).toMillis())
+                .orElse(-1L);
+    }
+
+    private static Outcome<CallSection> prefilled(final Blackboard board, final Call call, final CallResult result) {
+        final Draft draft = new Draft();
+        if (!(call.phase() instanceof CallPhase.Sent(int attempt, var upstream, var prefill)) || prefill.isEmpty()) {
+            return unchanged(board);
+        }
+        draft.add(new Event.UpstreamReleased(prefill.get(), Optional.of(result)));
+        if (!(result instanceof CallResult.Served)) {
+            draft.add(new Effect.Log(Decision.on(
+                    "prefill",
+                    call.demand().request(),
+                    "left to the decode upstream",
+                    Input.of("prefill_upstream", prefill.get()),
+                    Input.of("result", result))));
+        }
+        final Call next = call.in(new CallPhase.Sent(attempt, upstream, Optional.empty()));
+        return draft.outcome(with(board.serving().calls(), next));
+    }
+
+    private static Outcome<CallSection> abandon(final Blackboard board, final Call call) {
+        final Draft draft = new Draft();
+        CallEnding.release(call, Optional.empty(), draft);
+        draft.add(new Effect.Log(
+                Decision.on("answer", call.demand().request(), "caller left", Input.of("attempts", call.attempts()))));
+        return draft.outcome(without(board.serving().calls(), call));
+    }
+
+    private static boolean isCurrent(final Call call, final int attempt) {
+        return call.phase() instanceof CallPhase.Sent sent && sent.attempt() == attempt;
+    }
+
+    private static Optional<Call> find(final Blackboard board, final RequestIdentifier request) {
+        return Optional.ofNullable(board.serving().calls().calls().get(request));
+    }
+
+    private static Outcome<CallSection> unchanged(final Blackboard board) {
+        return Outcome.of(board.serving().calls());
+    }
+
+    /**
+     * Puts a call into the section.
+     *
+     * @param section the section, not null
+     * @param call the call, not null
+     * @return the section with it, never null
+     */
+    static CallSection with(final CallSection section, final Call call) {
+        return new CallSection(section.calls().plus(call.demand().request(), call));
+    }
+
+    /**
+     * Takes a call out of the section.
+     *
+     * @param section the section, not null
+     * @param call the call, not null
+     * @return the section without it, never null
+     */
+    static CallSection without(final CallSection section, final Call call) {
+        return new CallSection(section.calls().minus(call.demand().request()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/CallEnding.java
@@ -0,0 +1,197 @@
+package org.lacewingstep.controller;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.CallInstruction;
+import org.lacewingstep.blackboard.CallResult;
+import org.lacewingstep.blackboard.CallSection;
+import org.lacewingstep.blackboard.CallSection.Call;
+import org.lacewingstep.blackboard.CallSection.CallPhase;
+import org.lacewingstep.blackboard.Decision;
+import org.lacewingstep.blackboard.Decision.Input;
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.Outcome;
+import org.lacewingstep.blackboard.Refusal;
+import org.lacewingstep.error.ErrorCode;
+
+/** Decides what follows when an attempt of a call ends. */
+final class CallEnding {
+    /** When a refused caller should come back. */
+    private static final Duration REFUSAL_RETRY = Duration.ofMillis(300);
+
+    private static final int SERVER_ERROR = 500;
+
+    private CallEnding() {}
+
+    /**
+     * Ends an attempt.
+     *
+     * @param board the blackboard, not null
+     * @param call the call, sent, not null
+     * @param result how the attempt ended, not null
+     * @param now the present time, not null
+     * @return the section afterwards and what follows, never null
+     */
+    static Outcome<CallSection> end(
+            final Blackboard board, final Call call, final CallResult result, final Instant now) {
+        final Draft draft = new Draft();
+        release(call, Optional.of(result), draft);
+        return switch (result) {
+            case CallResult.Served() -> conclude(board, call, "served", draft, now);
+            case CallResult.FailedByUpstream(int status) ->
+                status >= SERVER_ERROR && mayRepeat(board, call, true, now)
+                        ? repeat(board, call, true, draft, result, now)
+                        : instruct(board, call, new CallInstruction.PassFailureOn(), draft, result);
+            case CallResult.NotRun(boolean reached) -> notRun(board, call, reached, draft, now);
+            case CallResult.Broken broken ->
+                mayRepeat(board, call, true, now)
+                        ? repeat(board, call, true, draft, result, now)
+                        : instruct(board, call, failed(broken), draft, result);
+        };
+    }
+
+    /**
+     * Ends a call whose deadline has come.
+     *
+     * @param board the blackboard, not null
+     * @param call the call, not null
+     * @param now the present time, not null
+     * @return the section afterwards and what follows, never null
+     */
+    static Outcome<CallSection> late(final Blackboard board, final Call call, final Instant now) {
+        final Draft draft = new Draft();
+        final CallResult result = new CallResult.Broken(true, false);
+        release(call, Optional.of(result), draft);
+        final boolean sent = call.phase() instanceof CallPhase.Sent || call.mayHaveRun();
+        final CallInstruction instruction = sent
+                ? new CallInstruction.Fail(ErrorCode.DEADLINE_EXCEEDED, "no answer before the deadline")
+                : new CallInstruction.Refuse(
+                        Refusal.of(ErrorCode.NO_CAPACITY, "no upstream was free before the deadline"));
+        return instruct(board, call, instruction, draft, result);
+    }
+
+    /**
+     * Tells the load section that a call holds no upstream any more.
+     *
+     * @param call the call, not null
+     * @param result how it ended, empty if the caller gave it up
+     * @param draft receives what follows, not null
+     */
+    static void release(final Call call, final Optional<CallResult> result, final Draft draft) {
+        if (call.phase() instanceof CallPhase.Sent(int attempt, var upstream, var prefill)) {
+            draft.add(new Event.UpstreamReleased(upstream, result));
+            prefill.ifPresent(name -> draft.add(new Event.UpstreamReleased(name, Optional.empty())));
+        }
+    }
+
+    private static Outcome<CallSection> notRun(
+            final Blackboard board, final Call call, final boolean reached, final Draft draft, final Instant now) {
+        final Call counted = reached ? call : uncounted(call);
+        if (mayRepeat(board, counted, false, now)) {
+            return repeat(board, counted, false, draft, new CallResult.NotRun(reached), now);
+        }
+        final CallInstruction instruction = call.mayHaveRun()
+                ? new CallInstruction.Fail(ErrorCode.UPSTREAM_FAILED, "the upstreams failed")
+                : new CallInstruction.Refuse(
+                        new Refusal(ErrorCode.NO_CAPACITY, "the upstream did not take the request", REFUSAL_RETRY));
+        return instruct(board, call, instruction, draft, new CallResult.NotRun(reached));
+    }
+
+    /** An upstream that was never reached does not count as one that the request was sent to. */
+    private static Call uncounted(final Call call) {
+        return new Call(
+                call.demand(),
+                call.route(),
+                call.service(),
+                call.team(),
+                call.units(),
+                call.deadline(),
+                call.attempts() - 1,
+                call.tried(),
+                call.mayHaveRun(),
+                call.phase());
+    }
+
+    private static boolean mayRepeat(final Blackboard board, final Call call, final boolean hasRun, final Instant now) {
+        return (!hasRun || call.route().kind().isRepeatable())
+                && call.attempts() < call.route().attemptLimit()
+                && (call.attempts() == 0 || AllowanceShare.repeats(board, now).affordsOne())
+                && now.isBefore(call.deadline());
+    }
+
+    private static Outcome<CallSection> repeat(
+            final Blackboard board,
+            final Call call,
+            final boolean hasRun,
+            final Draft draft,
+            final CallResult result,
+            final Instant now) {
+        draft.add(new Effect.Log(Decision.on(
+                "attempt",
+                call.demand().request(),
+                "sent again",
+                Input.of("result", result),
+                Input.of("attempts", call.attempts()))));
+        final Call next = new Call(
+                call.demand(),
+                call.route(),
+                call.service(),
+                call.team(),
+                call.units(),
+                call.deadline(),
+                call.attempts(),
+                call.tried(),
+                call.mayHaveRun() || hasRun,
+                new CallPhase.Queued(now.plus(CallPlacement.queuePatience(call, now))));
+        return CallPlacement.place(board, next, draft, now);
+    }
+
+    private static CallInstruction failed(final CallResult.Broken broken) {
+        return new CallInstruction.Fail(
+                broken.silent() ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.UPSTREAM_FAILED,
+                broken.silent() ? "the upstream fell silent" : "the upstream's answer broke off");
+    }
+
+    private static Outcome<CallSection> instruct(
+            final Blackboard board,
+            final Call call,
+            final CallInstruction instruction,
+            final Draft draft,
+            final CallResult result) {
+        draft.add(new Effect.Log(Decision.on(
+                "answer",
+                call.demand().request(),
+                outcome(instruction),
+                Input.of("result", result),
+                Input.of("attempts", call.attempts()),
+                Input.of("tried", call.tried()))));
+        draft.add(new Effect.InstructCall(call.demand().request(), instruction));
+        return draft.outcome(CallController.without(board.serving().calls(), call));
+    }
+
+    private static String outcome(final CallInstruction instruction) {
+        return switch (instruction) {
+            case CallInstruction.Send send -> "sent";
+            case CallInstruction.PassFailureOn() -> "failure passed on";
+            case CallInstruction.Refuse(Refusal refusal) -> "refused " + refusal.code();
+            case CallInstruction.Fail(ErrorCode code, String message) -> "failed " + code;
+        };
+    }
+
+    private static Outcome<CallSection> conclude(
+            final Blackboard board, final Call call, final String outcome, final Draft draft, final Instant now) {
+        draft.add(new Effect.Log(Decision.on(
+                "answer",
+                call.demand().request(),
+                outcome,
+                Input.of("attempts", call.attempts()),
+                Input.of(
+                        "took_ms",
+                        Duration.between(call.demand().receivedAt(), now).toMillis()))));
+        return draft.outcome(CallController.without(board.serving().calls(), call));
+    }
+}
--- a/src/main/java/org/lacewingstep/controller/Controller.java
+++ b/src/main/java/org/lacewingstep/controller/Controller.java
@@ -13,14 +13,20 @@
  * @param <S> the section that it writes
  */
 public sealed interface Controller<S extends Section>
-        permits CellController,
+        permits AllowanceController,
+                CallController,
+                CellController,
                 ConfigurationController,
                 LifecycleController,
                 MembershipController,
+                RegistryController,
                 RequestController,
+                RoutingController,
+                SiteController,
                 TeamBudgetController,
                 TokenRequestController,
-                UpstreamController {
+                UpstreamController,
+                UpstreamLoadController {
     /**
      * Gets the section that this controller alone writes.
      *
--- a/src/main/java/org/lacewingstep/controller/LifecycleController.java
+++ b/src/main/java/org/lacewingstep/controller/LifecycleController.java
@@ -15,6 +15,9 @@
 public final class LifecycleController implements Controller<LifecycleSection> {
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
 
+    /** Time kept before the kill for closing connections. */
+    private static final Duration EXIT_MARGIN = Duration.ofMillis(700);
+
     @Override
     public Class<LifecycleSection> section() {
         return LifecycleSection.class;
@@ -46,8 +49,12 @@
     private static LifecycleSection advance(final Blackboard board, final Instant now) {
         final Stage stage = board.lifecycle().stage();
         return switch (stage) {
-            case Stage.Starting() -> isServing(board) ? new LifecycleSection(new Stage.Ready()) : board.lifecycle();
-            case Stage.Ready() -> board.lifecycle();
+            case Stage.Starting() ->
+                isServing(board, now) ? new LifecycleSection(new Stage.Ready()) : board.lifecycle();
+            case Stage.Ready() ->
+                isSite(board) && !isServing(board, now)
+                        ? new LifecycleSection(new Stage.Starting())
+                        : board.lifecycle();
             case Stage.Draining(Instant since) ->
                 isDrained(board, since, now) ? new LifecycleSection(new Stage.Leaving(now)) : board.lifecycle();
             case Stage.Leaving(Instant since) ->
@@ -56,20 +63,38 @@
         };
     }
 
-    private static boolean isServing(final Blackboard board) {
+    private static boolean isSite(final Blackboard board) {
+        return board.serving().site().policy().isPresent();
+    }
+
+    private static boolean isServing(final Blackboard board, final Instant now) {
+        if (isSite(board)) {
+            return CallAdmission.isReady(board, now);
+        }
         return board.configuration().confirmedAt().isPresent()
                 && board.membership().roster().contains(board.identity().incarnation());
     }
 
     private static boolean isDrained(final Blackboard board, final Instant since, final Instant now) {
         final Instant earliest = since.plus(board.identity().policy().drainDelay());
-        return !now.isBefore(earliest) && board.requests().requests().isEmpty();
+        final boolean idle = board.requests().requests().isEmpty()
+                && board.serving().calls().calls().isEmpty();
+        return !now.isBefore(earliest) && (idle || isOverdue(board, since, now));
+    }
+
+    private static boolean isOverdue(final Blackboard board, final Instant since, final Instant now) {
+        return board.serving()
+                .site()
+                .policy()
+                .map(policy -> since.plus(policy.shutdownLimit()).minus(EXIT_MARGIN))
+                .filter(latest -> !now.isBefore(latest))
+                .isPresent();
     }
 
     private static boolean hasLeft(final Blackboard board, final Instant since, final Instant now) {
         final Instant latest = since.plus(board.identity().policy().leaseDuration());
-        final boolean gone =
-                !board.membership().roster().contains(board.identity().incarnation());
+        final boolean gone = isSite(board)
+                || !board.membership().roster().contains(board.identity().incarnation());
         return gone || now.isAfter(latest);
     }
 
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/RoutingController.java
@@ -0,0 +1,165 @@
+package org.lacewingstep.controller;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.Decision;
+import org.lacewingstep.blackboard.Decision.Input;
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.Outcome;
+import org.lacewingstep.blackboard.RoutingSection;
+import org.lacewingstep.blackboard.StoreChange;
+import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.domain.FailureDomainName;
+import org.lacewingstep.domain.RoutingTable;
+
+/** Keeps the newest routing table and proves again and again that none is newer. */
+public final class RoutingController implements Controller<RoutingSection> {
+    /** Time between two proofs; several fit into the time within which a withdrawn key stops working. */
+    private static final Duration PROOF_INTERVAL = Duration.ofSeconds(1);
+
+    /** Time until a failed proof is tried again. */
+    private static final Duration RETRY_INTERVAL = Duration.ofMillis(400);
+
+    @Override
+    public Class<RoutingSection> section() {
+        return RoutingSection.class;
+    }
+
+    @Override
+    public Outcome<RoutingSection> step(final Blackboard board, final Event event, final Instant now) {
+        final RoutingSection routing = board.serving().routing();
+        return switch (event) {
+            case Event.SiteConfigured configured -> start(routing, now);
+            case Event.TimerFired(TimerKey.TableProof()) -> prove(routing, now);
+            case Event.TableProved(var newer, long revision, Instant askedAt) ->
+                proved(routing, newer, revision, askedAt);
+            case Event.TableUnproved(String reason) -> unproved(routing, reason, now);
+            case Event.StoreRead(var content, long revision, Instant askedAt) -> read(routing, content, askedAt);
+            case Event.StoreChanged(var changes, long revision) -> changed(routing, changes);
+            case Event.ClockSkipped(Duration by) -> skipped(routing, by, now);
+            default -> Outcome.of(routing);
+        };
+    }
+
+    private static Outcome<RoutingSection> start(final RoutingSection routing, final Instant now) {
+        final Draft draft = new Draft();
+        draft.add(new Effect.StartTimer(new TimerKey.TableProof(), now.plus(PROOF_INTERVAL)));
+        return draft.outcome(routing);
+    }
+
+    private static Outcome<RoutingSection> prove(final RoutingSection routing, final Instant now) {
+        final Draft draft = new Draft();
+        draft.add(new Effect.ProveTable(routing.revision()));
+        draft.add(new Effect.StartTimer(new TimerKey.TableProof(), now.plus(PROOF_INTERVAL)));
+        return draft.outcome(routing);
+    }
+
+    private static Outcome<RoutingSection> unproved(
+            final RoutingSection routing, final String reason, final Instant now) {
+        final Draft draft = new Draft();
+        draft.add(new Effect.StartTimer(new TimerKey.TableProof(), now.plus(RETRY_INTERVAL)));
+        draft.add(new Effect.Log(Decision.of(
+                "routing_proof",
+                "failed",
+                Input.of("reason", reason),
+                Input.of("version", routing.table().version()),
+                Input.of("proof_age_ms", age(routing, now)))));
+        return draft.outcome(routing);
+    }
+
+    private static String age(final RoutingSection routing, final Instant now) {
+        return routing.confirmedAt()
+                .map(at -> Long.toString(Duration.between(at, now).toMillis()))
+                .orElse("none");
+    }
+
+    private static Outcome<RoutingSection> proved(
+            final RoutingSection routing,
+            final Optional<RoutingTable> newer,
+            final long revision,
+            final Instant askedAt) {
+        final Draft draft = new Draft();
+        final RoutingSection adopted =
+                newer.map(table -> adopt(routing, table, revision, draft)).orElse(routing);
+        return draft.outcome(adopted.revision() == revision ? confirmed(adopted, askedAt) : adopted);
+    }
+
+    private static Outcome<RoutingSection> read(
+            final RoutingSection routing, final List<StoreChange> content, final Instant askedAt) {
+        final Draft draft = new Draft();
+        final RoutingSection cleared =
+                new RoutingSection(routing.table(), routing.revision(), routing.confirmedAt(), Set.of());
+        final RoutingSection applied = apply(cleared, content, draft);
+        final boolean newest = content.stream()
+                .anyMatch(change -> change instanceof StoreChange.TableWritten(var table, long revision)
+                        && revision == applied.revision());
+        return draft.outcome(newest ? confirmed(applied, askedAt) : applied);
+    }
+
+    private static Outcome<RoutingSection> changed(final RoutingSection routing, final List<StoreChange> changes) {
+        final Draft draft = new Draft();
+        return draft.outcome(apply(routing, changes, draft));
+    }
+
+    private static Outcome<RoutingSection> skipped(final RoutingSection routing, final Duration by, final Instant now) {
+        final Draft draft = new Draft();
+        draft.add(new Effect.Log(Decision.of("clock", "proof dropped", Input.of("skipped_ms", by.toMillis()))));
+        draft.add(new Effect.ProveTable(routing.revision()));
+        draft.add(new Effect.StartTimer(new TimerKey.TableProof(), now.plus(PROOF_INTERVAL)));
+        return draft.outcome(
+                new RoutingSection(routing.table(), routing.revision(), Optional.empty(), routing.takenOut()));
+    }
+
+    private static RoutingSection apply(
+            final RoutingSection routing, final List<StoreChange> changes, final Draft draft) {
+        RoutingSection next = routing;
+        for (final StoreChange change : changes) {
+            next = switch (change) {
+                case StoreChange.TableWritten(RoutingTable table, long revision) -> adopt(next, table, revision, draft);
+                case StoreChange.DomainTakenOut(FailureDomainName domain) -> withDomain(next, domain, true, draft);
+                case StoreChange.DomainBack(FailureDomainName domain) -> withDomain(next, domain, false, draft);
+                default -> next;
+            };
+        }
+        return next;
+    }
+
+    private static RoutingSection adopt(
+            final RoutingSection routing, final RoutingTable table, final long revision, final Draft draft) {
+        if (revision <= routing.revision()) {
+            return routing;
+        }
+        draft.add(new Effect.Log(Decision.of(
+                "routing",
+                "adopted",
+                Input.of("version", table.version()),
+                Input.of("revision", revision),
+                Input.of("previous_version", routing.table().version()),
+                Input.of("teams", table.teams().size()),
+                Input.of("keys", table.keys().size()))));
+        return new RoutingSection(table, revision, routing.confirmedAt(), routing.takenOut());
+    }
+
+    private static RoutingSection withDomain(
+            final RoutingSection routing, final FailureDomainName domain, final boolean out, final Draft draft) {
+        final Set<FailureDomainName> next = new HashSet<>(routing.takenOut());
+        if (out ? next.add(domain) : next.remove(domain)) {
+            draft.add(new Effect.Log(Decision.of(
+                    "failure_domain", out ? "taken out" : "taken back in", Input.of("failure_domain", domain))));
+        }
+        return new RoutingSection(routing.table(), routing.revision(), routing.confirmedAt(), next);
+    }
+
+    private static RoutingSection confirmed(final RoutingSection routing, final Instant askedAt) {
+        final Instant latest =
+                routing.confirmedAt().filter(known -> known.isAfter(askedAt)).orElse(askedAt);
+        return new RoutingSection(routing.table(), routing.revision(), Optional.of(latest), routing.takenOut());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/domain/RoutedService.java
@@ -0,0 +1,19 @@
+package org.lacewingstep.domain;
+
+import org.lacewingstep.error.Validate;
+
+/**
+ * What the operators say of a service and its upstreams.
+ *
+ * @param name the service, not null
+ * @param connectionLimit most connections that one upstream accepts from all instances together, positive
+ * @param coldRequestsPerSecond requests a second that a cold upstream bears, zero if its upstreams are never cold
+ */
+public record RoutedService(ServiceName name, int connectionLimit, double coldRequestsPerSecond) {
+    /** Checks the parts. */
+    public RoutedService {
+        Validate.notNull(name, "service");
+        Validate.isTrue(connectionLimit > 0, "connection limit", "more than zero");
+        Validate.isTrue(coldRequestsPerSecond >= 0, "cold requests", "zero or more");
+    }
+}
--- a/src/main/java/org/lacewingstep/platform/ConfigurationStore.java
+++ b/src/main/java/org/lacewingstep/etcd/ConfigurationStore.java
@@ -1,4 +1,4 @@
-package org.lacewingstep.platform;
+package org.lacewingstep.etcd;
 
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
--- a/src/main/java/org/lacewingstep/platform/PlatformAdapter.java
+++ b/src/main/java/org/lacewingstep/etcd/PlatformAdapter.java
@@ -1,4 +1,4 @@
-package org.lacewingstep.platform;
+package org.lacewingstep.etcd;
 
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/org/lacewingstep/platform/StoreKeys.java
+++ b/src/main/java/org/lacewingstep/etcd/StoreKeys.java
@@ -1,4 +1,4 @@
-package org.lacewingstep.platform;
+package org.lacewingstep.etcd;
 
 import org.lacewingstep.domain.IdempotencyKey;
 import org.lacewingstep.domain.Incarnation;
--- a/src/main/java/org/lacewingstep/peer/PeerCodec.java
+++ b/src/main/java/org/lacewingstep/peer/PeerCodec.java
@@ -14,6 +14,7 @@
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
+import org.lacewingstep.etcd.DocumentCodec;
 import org.lacewingstep.peer.wire.WireBudgetHandover;
 import org.lacewingstep.peer.wire.WireConfigurationAsk;
 import org.lacewingstep.peer.wire.WireConfigurationCopy;
@@ -29,7 +30,6 @@
 import org.lacewingstep.peer.wire.WireTokenAnswer;
 import org.lacewingstep.peer.wire.WireTokenAsk;
 import org.lacewingstep.peer.wire.WireTokenRefund;
-import org.lacewingstep.platform.DocumentCodec;
 
 /** Maps messages between instances to and from their Thrift form. */
 public final class PeerCodec {
--- /dev/null
+++ b/src/main/java/org/lacewingstep/platform/PlatformSettings.java
@@ -0,0 +1,179 @@
+package org.lacewingstep.platform;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.lacewingstep.domain.FailureDomainName;
+import org.lacewingstep.domain.InstanceName;
+import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.RegionName;
+import org.lacewingstep.domain.SitePolicy;
+import org.lacewingstep.error.ErrorCode;
+import org.lacewingstep.error.RouterException;
+import org.lacewingstep.settings.Faults;
+
+/**
+ * The settings that the platform gives to a process; fields that are not known are ignored.
+ *
+ * @param policy the place of the process and the bounds of the site, not null
+ * @param callerAddress where callers reach it, not null
+ * @param readyAddress where the platform asks whether it is ready, not null
+ * @param storeAddress where the platform's store is reached, not null
+ * @param firstStart whether the whole site starts together with this process
+ */
+public record PlatformSettings(
+        SitePolicy policy,
+        PeerAddress callerAddress,
+        PeerAddress readyAddress,
+        PeerAddress storeAddress,
+        boolean firstStart) {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long MILLISECONDS_PER_SECOND = 1000;
+
+    /**
+     * Reads and checks the file.
+     *
+     * @param file the file, not null
+     * @return the settings, never null
+     * @throws RouterException with every fault of the file, if there is one
+     */
+    public static PlatformSettings read(final Path file) {
+        try {
+            return parse(file.toString(), Files.readString(file));
+        } catch (final IOException failure) {
+            throw new RouterException(
+                    ErrorCode.SETTINGS_INVALID, "read", file.toString(), "cannot be read: " + failure, failure);
+        }
+    }
+
+    /**
+     * Checks the text of a file.
+     *
+     * @param name the file's name, not null
+     * @param text the text, not null
+     * @return the settings, never null
+     * @throws RouterException with every fault of the text, if there is one
+     */
+    public static PlatformSettings parse(final String name, final String text) {
+        final Faults faults = new Faults(name);
+        final Reader root = new Reader(tree(name, text), "", faults);
+        final Reader bounds = root.table("bounds");
+        final Reader listen = root.table("listen");
+        final PeerAddress callers = listen.address("front");
+        final PeerAddress ready = listen.address("ready");
+        final PeerAddress store = root.table("platform").address("address");
+        final String instance = root.text("node");
+        final String domain = root.text("zone");
+        final Map<FailureDomainName, RegionName> regions = regions(root.table("zones"));
+        final Duration withdrawal = bounds.milliseconds("revokeMs");
+        final Duration shutdown = bounds.seconds("graceS");
+        final double retryRatio = bounds.number("retryBudgetRatio");
+        final Duration retryWindow = bounds.seconds("budgetWindowS");
+        final double retrySlack = bounds.number("retrySlack");
+        final Duration rateWindow = bounds.seconds("quotaWindowS");
+        final double rateExcess = bounds.number("quotaOver");
+        final double rateSlack = bounds.number("quotaSlack");
+        final double coldExcess = bounds.number("coldOver");
+        final double coldSlack = bounds.number("coldSlack");
+        faults.raise(ErrorCode.SETTINGS_INVALID);
+        final SitePolicy policy = new SitePolicy(
+                new InstanceName(instance),
+                new FailureDomainName(domain),
+                regions,
+                withdrawal,
+                shutdown,
+                retryRatio,
+                retryWindow,
+                retrySlack,
+                rateWindow,
+                rateExcess,
+                rateSlack,
+                coldExcess,
+                coldSlack);
+        return new PlatformSettings(
+                policy, callers, ready, store, root.node().path("bootstrap").asBoolean());
+    }
+
+    private static JsonNode tree(final String name, final String text) {
+        try {
+            return MAPPER.readTree(text);
+        } catch (final IOException failure) {
+            throw new RouterException(
+                    ErrorCode.SETTINGS_INVALID, "parse", name, "is not JSON: " + failure.getMessage(), failure);
+        }
+    }
+
+    private static Map<FailureDomainName, RegionName> regions(final Reader zones) {
+        final Map<FailureDomainName, RegionName> regions = new HashMap<>();
+        zones.node().fields().forEachRemaining(entry -> {
+            final String region = zones.text(entry.getKey());
+            if (!region.isBlank()) {
+                regions.put(new FailureDomainName(entry.getKey()), new RegionName(region));
+            }
+        });
+        return regions;
+    }
+
+    /** Reads the fields of one table and collects their faults. */
+    private record Reader(JsonNode node, String path, Faults faults) {
+        private static final String NO_ADDRESS = "must be an address of the form host:port";
+
+        Reader table(final String key) {
+            if (!node.path(key).isObject()) {
+                faults.add(path + key, "must be a table");
+            }
+            return new Reader(node.path(key), path + key + ".", faults);
+        }
+
+        String text(final String key) {
+            final String text = node.path(key).asText();
+            if (!node.path(key).isTextual() || text.isBlank()) {
+                faults.add(path + key, "must be a text that is not blank");
+                return "";
+            }
+            return text;
+        }
+
+        double number(final String key) {
+            final JsonNode value = node.path(key);
+            if (!value.isNumber() || value.asDouble() < 0) {
+                faults.add(path + key, "must be a number of zero or more");
+                return 0;
+            }
+            return value.asDouble();
+        }
+
+        Duration milliseconds(final String key) {
+            final double value = number(key);
+            if (value == 0) {
+                faults.add(path + key, "must be more than zero");
+                return Duration.ofMillis(1);
+            }
+            return Duration.ofMillis((long) value);
+        }
+
+        Duration seconds(final String key) {
+            final double value = number(key);
+            if (value == 0) {
+                faults.add(path + key, "must be more than zero");
+                return Duration.ofMillis(1);
+            }
+            return Duration.ofMillis((long) (value * MILLISECONDS_PER_SECOND));
+        }
+
+        PeerAddress address(final String key) {
+            try {
+                return PeerAddress.parse(node.path(key).asText());
+            } catch (final RouterException failure) {
+                faults.add(path + key, NO_ADDRESS);
+                return new PeerAddress("0.0.0.0", 1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/platform/RoutingCodec.java
@@ -0,0 +1,144 @@
+package org.lacewingstep.platform;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.lacewingstep.domain.CallerLimits;
+import org.lacewingstep.domain.KeyDigest;
+import org.lacewingstep.domain.RegionName;
+import org.lacewingstep.domain.Route;
+import org.lacewingstep.domain.RouteKind;
+import org.lacewingstep.domain.RouteTarget;
+import org.lacewingstep.domain.RoutedService;
+import org.lacewingstep.domain.RoutingTable;
+import org.lacewingstep.domain.ServiceName;
+import org.lacewingstep.domain.TeamAllowance;
+import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.error.ErrorCode;
+import org.lacewingstep.error.RouterException;
+
+/** Decodes the operators' document of routes, services, teams and limits. */
+final class RoutingCodec {
+    /** Pause allowed on streaming routes that state none. */
+    private static final long DEFAULT_PAUSE_MILLISECONDS = 300;
+
+    private RoutingCodec() {}
+
+    /**
+     * Decodes the document.
+     *
+     * @param document the document, not null
+     * @return the routing table, never null
+     * @throws RouterException if it cannot be understood
+     */
+    static RoutingTable decode(final JsonNode document) {
+        final List<Route> routes = new ArrayList<>();
+        document.path("routes").forEach(node -> routes.add(route(node)));
+        final Map<ServiceName, RoutedService> services = new HashMap<>();
+        document.path("services").forEach(node -> {
+            final RoutedService service = service(node);
+            services.put(service.name(), service);
+        });
+        final Map<TeamName, TeamAllowance> teams = new HashMap<>();
+        final Map<KeyDigest, TeamName> keys = new HashMap<>();
+        document.path("tenants").forEach(node -> {
+            final TeamAllowance team = team(node);
+            teams.put(team.team(), team);
+            node.path("apiKeys").forEach(key -> keys.put(KeyDigest.of(key.asText()), team.team()));
+        });
+        return new RoutingTable(
+                number(document, "version"),
+                RoutingTable.byHost(routes),
+                services,
+                teams,
+                keys,
+                limits(document.path("limits")));
+    }
+
+    private static Route route(final JsonNode node) {
+        return new Route(
+                node.path("name").asText(),
+                node.path("host").asText(),
+                node.path("pathPrefix").asText(),
+                kind(node),
+                Duration.ofMillis(number(node, "timeoutMs")),
+                Duration.ofMillis(number(node, "targetLatencyMs")),
+                (int) Math.max(1, node.path("maxAttempts").asLong(1)),
+                node.path("anonymous").asBoolean(),
+                targets(node),
+                regions(node));
+    }
+
+    private static RouteKind kind(final JsonNode node) {
+        return switch (node.path("kind").asText()) {
+            case "safe" -> new RouteKind.Idempotent();
+            case "streaming" ->
+                new RouteKind.EventStream(
+                        node.path("resumable").asBoolean(),
+                        Duration.ofMillis(node.path("gapAimMs").asLong(DEFAULT_PAUSE_MILLISECONDS)));
+            default -> new RouteKind.RunOnce();
+        };
+    }
+
+    /** A route names either one service or a split with weights. */
+    private static List<RouteTarget> targets(final JsonNode node) {
+        final List<RouteTarget> targets = new ArrayList<>();
+        for (final JsonNode part : node.path("trafficSplit")) {
+            targets.add(new RouteTarget(
+                    new ServiceName(part.path("service").asText()),
+                    part.path("weight").asDouble()));
+        }
+        return targets.isEmpty()
+                ? List.of(new RouteTarget(new ServiceName(node.path("service").asText()), 1))
+                : targets;
+    }
+
+    private static Set<RegionName> regions(final JsonNode node) {
+        final Set<RegionName> regions = new HashSet<>();
+        node.path("allowedRegions").forEach(name -> regions.add(new RegionName(name.asText())));
+        return regions;
+    }
+
+    private static RoutedService service(final JsonNode node) {
+        return new RoutedService(
+                new ServiceName(node.path("name").asText()),
+                node.path("maxConnections").asInt(Integer.MAX_VALUE),
+                node.path("coldPerS").asDouble());
+    }
+
+    private static TeamAllowance team(final JsonNode node) {
+        return new TeamAllowance(
+                new TeamName(node.path("name").asText()),
+                node.path("ratePerS").asDouble(),
+                node.path("burst").asDouble(),
+                "token_stream".equals(node.path("unit").asText()),
+                node.path("plainTokens").asLong(),
+                regions(node));
+    }
+
+    private static CallerLimits limits(final JsonNode node) {
+        final CallerLimits usual = CallerLimits.DEFAULT;
+        return new CallerLimits(
+                node.path("maxHeaderBytes").asInt(usual.headerBytes()),
+                node.path("maxBodyBytes").asInt(usual.bodyBytes()),
+                Duration.ofMillis(
+                        node.path("headerTimeoutMs").asLong(usual.headerLimit().toMillis())),
+                Duration.ofMillis(
+                        node.path("idleTimeoutMs").asLong(usual.idleLimit().toMillis())));
+    }
+
+    private static long number(final JsonNode node, final String field) {
+        final JsonNode value = node.path(field);
+        if (!value.isNumber()) {
+            throw new RouterException(
+                    ErrorCode.CONFIGURATION_INVALID, "decode", field, "the routing document has no number " + field);
+        }
+        return value.asLong();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/lacewingstep/platform/StoreCodec.java
@@ -0,0 +1,142 @@
+package org.lacewingstep.platform;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.lacewingstep.blackboard.StoreChange;
+import org.lacewingstep.domain.FailureDomainName;
+import org.lacewingstep.domain.InstanceName;
+import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.RegisteredUpstream;
+import org.lacewingstep.domain.ServiceName;
+import org.lacewingstep.domain.UpstreamName;
+import org.lacewingstep.domain.UpstreamRole;
+import org.lacewingstep.error.RouterException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Decodes items of the platform's store by their keys. */
+final class StoreCodec {
+    /** Key of the operators' routing document. */
+    static final String ROUTING_KEY = "op/config";
+
+    /** Keys of the instances of this system. */
+    static final String INSTANCE_PREFIX = "lacewingstep/instances/";
+
+    private static final String EVACUATION_PREFIX = "op/evacuate/";
+    private static final Logger LOGGER = LoggerFactory.getLogger(StoreCodec.class);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String UPSTREAM_PREFIX = "servers/";
+
+    private StoreCodec() {}
+
+    /**
+     * Decodes an item that was written or deleted.
+     *
+     * @param item the item, not null
+     * @return the change, empty if it does not concern this system or cannot be understood
+     */
+    static Optional<StoreChange> decode(final JsonNode item) {
+        final String key = item.path("key").asText();
+        final boolean deleted = item.path("deleted").asBoolean();
+        try {
+            if (key.equals(ROUTING_KEY) && !deleted) {
+                return Optional.of(new StoreChange.TableWritten(
+                        RoutingCodec.decode(value(item)), item.path("revision").asLong()));
+            }
+            return decodeNamed(item, key, deleted);
+        } catch (final IOException | IllegalArgumentException | RouterException failure) {
+            LOGGER.atWarn()
+                    .addKeyValue("step", "decode")
+                    .addKeyValue("key", key)
+                    .log("item of the store cannot be understood: {}", failure.getMessage());
+            return key.startsWith(UPSTREAM_PREFIX) && key.length() > UPSTREAM_PREFIX.length()
+                    ? Optional.of(new StoreChange.UpstreamMissing(name(key)))
+                    : Optional.empty();
+        }
+    }
+
+    private static Optional<StoreChange> decodeNamed(final JsonNode item, final String key, final boolean deleted)
+            throws IOException {
+        if (key.startsWith(EVACUATION_PREFIX)) {
+            final FailureDomainName domain = new FailureDomainName(key.substring(EVACUATION_PREFIX.length()));
+            return Optional.of(deleted ? new StoreChange.DomainBack(domain) : new StoreChange.DomainTakenOut(domain));
+        }
+        if (key.startsWith(INSTANCE_PREFIX)) {
+            final InstanceName instance = new InstanceName(key.substring(INSTANCE_PREFIX.length()));
+            return Optional.of(
+                    deleted ? new StoreChange.InstanceMissing(instance) : new StoreChange.InstancePresent(instance));
+        }
+        if (key.startsWith(UPSTREAM_PREFIX)) {
+            return Optional.of(
+                    deleted
+                            ? new StoreChange.UpstreamMissing(name(key))
+                            : new StoreChange.UpstreamSeen(upstream(name(key), value(item))));
+        }
+        return Optional.empty();
+    }
+
+    private static UpstreamName name(final String key) {
+        return new UpstreamName(key.substring(UPSTREAM_PREFIX.length()));
+    }
+
+    private static RegisteredUpstream upstream(final UpstreamName name, final JsonNode entry) {
+        return new RegisteredUpstream(
+                name,
+                entry.path("born").asLong(),
+                new ServiceName(text(entry, "service")),
+                PeerAddress.parse(text(entry, "address")),
+                new FailureDomainName(text(entry, "zone")),
+                role(entry),
+                number(entry, "slots"),
+                isDraining(entry),
+                Duration.ofMillis(entry.path("coldRemainingMs").asLong()));
+    }
+
+    private static boolean isDraining(final JsonNode entry) {
+        return switch (text(entry, "state")) {
+            case "ready" -> false;
+            case "draining" -> true;
+            default -> throw new IllegalArgumentException("unknown state");
+        };
+    }
+
+    private static UpstreamRole role(final JsonNode entry) {
+        if (!entry.hasNonNull("stage")) {
+            return UpstreamRole.PLAIN;
+        }
+        return switch (text(entry, "stage")) {
+            case "prefill" -> UpstreamRole.PREFILL;
+            case "decode" -> UpstreamRole.DECODE;
+            default -> throw new IllegalArgumentException("unknown stage");
+        };
+    }
+
+    private static String text(final JsonNode node, final String field) {
+        if (!node.path(field).isTextual()) {
+            throw new IllegalArgumentException(field + " is no text");
+        }
+        return node.path(field).asText();
+    }
+
+    private static int number(final JsonNode node, final String field) {
+        if (!node.path(field).isIntegralNumber()) {
+            throw new IllegalArgumentException(field + " is no whole number");
+        }
+        return node.path(field).asInt();
+    }
+
+    /** Values are base64 text around JSON. */
+    private static JsonNode value(final JsonNode item) throws IOException {
+        final JsonNode value =
+                MAPPER.readTree(Base64.getDecoder().decode(item.path("value").asText()));
+        if (value == null || !value.isObject()) {
+            throw new IllegalArgumentException("the value is no object");
+        }
+        return value;
+    }
+}
--- a/src/main/java/org/lacewingstep/platform/package-info.java
+++ b/src/main/java/org/lacewingstep/platform/package-info.java
@@ -1,2 +1,2 @@
-/** Clients of the key-value service and of the instance list. */
+/** The dialect of the users' platform: its settings file, its store, and the messages of callers and upstreams. */
 package org.lacewingstep.platform;
--- a/src/main/java/org/lacewingstep/traffic/ErrorAnswer.java
+++ b/src/main/java/org/lacewingstep/traffic/ErrorAnswer.java
@@ -72,7 +72,13 @@
         return RequestFailure.mayHaveRun(ErrorCode.INTERNAL, "the router failed");
     }
 
-    private static int status(final ErrorCode code) {
+    /**
+     * Gets the HTTP status of an error.
+     *
+     * @param code the error's code, not null
+     * @return the status
+     */
+    static int status(final ErrorCode code) {
         return switch (code) {
             case REQUEST_INVALID, TOKENS_INVALID, ARGUMENT_INVALID -> 400;
             case KEY_UNKNOWN -> 401;
--- a/src/main/java/org/lacewingstep/traffic/OperatorHandlers.java
+++ b/src/main/java/org/lacewingstep/traffic/OperatorHandlers.java
@@ -30,6 +30,7 @@
         chain.get("live", this::live)
                 .get("ready", this::ready)
                 .get("state", context -> context.getResponse().send(JSON, StateDump.of(board.get())))
+                .get("metrics.txt", context -> context.getResponse().send("text/plain", MetricsText.of(metrics)))
                 .get("metrics", context -> context.getResponse().send(JSON, MAPPER.writeValueAsString(metrics)));
     }
 
--- a/src/main/java/org/lacewingstep/traffic/RequestDesk.java
+++ b/src/main/java/org/lacewingstep/traffic/RequestDesk.java
@@ -1,6 +1,5 @@
 package org.lacewingstep.traffic;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -9,7 +8,6 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 
-import com.google.common.hash.Hashing;
 import io.netty.channel.ChannelFutureListener;
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.RequestDemand;
@@ -135,7 +133,7 @@
     private static Optional<IdempotencyKey> idempotencyKey(final Context context) {
         return Optional.ofNullable(context.getRequest().getHeaders().get("Idempotency-Key"))
                 .filter(header -> !header.isBlank())
-                .map(header -> new IdempotencyKey(digest(header).value()));
+                .map(header -> new IdempotencyKey(KeyDigest.of(header).value()));
     }
 
     private static Optional<KeyDigest> digest(final Context context) {
@@ -143,17 +141,6 @@
         if (header == null || !header.startsWith(BEARER) || header.length() == BEARER.length()) {
             return Optional.empty();
         }
-        return Optional.of(digest(header.substring(BEARER.length())));
-    }
-
-    /**
-     * Computes the digest of a key.
-     *
-     * @param key the key, not null
-     * @return the digest, never null
-     */
-    public static KeyDigest digest(final String key) {
-        return new KeyDigest(
-                Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString());
+        return Optional.of(KeyDigest.of(header.substring(BEARER.length())));
     }
 }
--- a/src/main/java/org/lacewingstep/traffic/StateDump.java
+++ b/src/main/java/org/lacewingstep/traffic/StateDump.java
@@ -8,7 +8,7 @@
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
-import org.lacewingstep.platform.DocumentCodec;
+import org.lacewingstep.etcd.DocumentCodec;
 
 /** Dumps the blackboard as JSON, without the digests of keys. */
 public final class StateDump {
@@ -31,6 +31,12 @@
             for (final JsonNode request : tree.path("requests").path("requests")) {
                 ((ObjectNode) request.path("demand")).remove("key");
             }
+            final ObjectNode table =
+                    (ObjectNode) tree.path("serving").path("routing").path("table");
+            table.put("keys", board.serving().routing().table().keys().size());
+            for (final JsonNode call : tree.path("serving").path("calls").path("calls")) {
+                ((ObjectNode) call.path("demand")).remove("key");
+            }
             return tree.toPrettyString();
         } catch (final IOException failure) {
             throw new RouterException(ErrorCode.INTERNAL, "dump", "state", failure.getMessage(), failure);
--- a/src/test/java/org/lacewingstep/command/CutPointTest.java
+++ b/src/test/java/org/lacewingstep/command/CutPointTest.java
@@ -25,11 +25,11 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.lacewingstep.command.CuttingService.CutPoint;
 import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.domain.KeyDigest;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.settings.InstanceSettings;
 import org.lacewingstep.settings.Inventory;
 import org.lacewingstep.standin.StandIns;
-import org.lacewingstep.traffic.RequestDesk;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -166,7 +166,7 @@
         final Path rules = write("rules.toml", RULES);
         ConfigurationEditor.edit(standIns.storeAddress(), current -> {
             final Configuration compiled = Inventory.compile(inventory, rules, current);
-            return compiled.withKeys(Map.of(RequestDesk.digest(KEY), new TeamName("weavers")));
+            return compiled.withKeys(Map.of(KeyDigest.of(KEY), new TeamName("weavers")));
         });
     }
 
--- a/src/test/java/org/lacewingstep/controller/ArchitectureTest.java
+++ b/src/test/java/org/lacewingstep/controller/ArchitectureTest.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.controller;
 
 import java.time.Instant;
+import java.util.stream.Stream;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
@@ -26,7 +27,24 @@
     void everySectionHasExactlyOneWriter() {
         assertThat(BlackboardStepper.CONTROLLERS)
                 .extracting(Controller::section)
-                .containsExactlyInAnyOrder((Class[]) Section.class.getPermittedSubclasses());
+                .containsExactlyInAnyOrder(sections(Section.class).toArray(Class[]::new));
+    }
+
+    private static Stream<Class<?>> sections(final Class<?> type) {
+        return type.isSealed()
+                ? Stream.of(type.getPermittedSubclasses()).flatMap(ArchitectureTest::sections)
+                : Stream.of(type);
+    }
+
+    @Test
+    void thePlatformFolderDecidesNothingAndItsNamesStayThere() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.lacewingstep.platform..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("org.lacewingstep.controller..")
+                .check(product);
     }
 
     @Test
@@ -48,6 +66,7 @@
                         "org.lacewingstep.control..",
                         "org.lacewingstep.traffic..",
                         "org.lacewingstep.peer..",
+                        "org.lacewingstep.etcd..",
                         "org.lacewingstep.platform..",
                         "org.lacewingstep.upstream..")
                 .check(product);
--- a/src/test/java/org/lacewingstep/scenario/SlopeMeasurement.java
+++ b/src/test/java/org/lacewingstep/scenario/SlopeMeasurement.java
@@ -24,7 +24,7 @@
 import org.lacewingstep.domain.ServiceSelector;
 import org.lacewingstep.domain.Shard;
 import org.lacewingstep.domain.TeamName;
-import org.lacewingstep.platform.DocumentCodec;
+import org.lacewingstep.etcd.DocumentCodec;
 
 /** Measures how memory and processor time grow with teams, members and requests, and prints a table. */
 public final class SlopeMeasurement {
