Rest engines that refuse, fill memory beyond predicted ends, wait longer for room

Ruled out: cold limits (8 engines, 60 requests running).

Change: an engine that refused gets nothing for a time that doubles with each further refusal; predicted ends may sum up to 1.2 of the memory for calls that can be on time and to 1.0 for others; calls to engines wait up to 2 s beyond their target.

--- a/src/main/java/org/lacewingstep/blackboard/UpstreamLoadSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/UpstreamLoadSection.java
@@ -72,6 +72,7 @@
      * @param arrivals when this instance sent requests in the last second, oldest first, not null
      * @param failureShare moving share of attempts that failed, 0 to 1
      * @param failuresInRow attempts that failed since the last one that was served
+     * @param refusalsInRow attempts that it refused since the last one that was served
      * @param avoidUntil when it may get work again, not null
      */
     public record Load(
@@ -80,9 +81,10 @@
             PVector<Instant> arrivals,
             double failureShare,
             int failuresInRow,
+            int refusalsInRow,
             Instant avoidUntil) {
         /** The load of an upstream that was sent nothing. */
-        public static final Load NONE = new Load(0, UpstreamUse.NONE, TreePVector.empty(), 0, 0, Instant.EPOCH);
+        public static final Load NONE = new Load(0, UpstreamUse.NONE, TreePVector.empty(), 0, 0, 0, Instant.EPOCH);
 
         private static final Duration SECOND = Duration.ofSeconds(1);
 
--- a/src/main/java/org/lacewingstep/controller/AllowanceShare.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceShare.java
@@ -24,8 +24,14 @@
     /** Part of a team's bound that is handed out; the rest covers instances whose view of the demand differs. */
     private static final double DEMAND_HANDED_OUT = 0.85;
 
-    /** What another instance told of its demand counts for so long: two messages may be lost. */
-    private static final Duration DEMAND_LIFE = Duration.ofMillis(2500);
+    /** What another instance told of its demand counts for so long, while it restarts or is cut off. */
+    private static final Duration DEMAND_LIFE = Duration.ofSeconds(6);
+
+    /** What was told longer ago may differ from what the others know: two messages were lost. */
+    private static final Duration FRESH_DEMAND = Duration.ofMillis(2500);
+
+    /** Largest part by demand, in equal parts, while an instance is silent. */
+    private static final double LARGEST_STALE_PART = 2;
 
     /** Part of a team's bound that is divided equally, for demand that moves. */
     private static final double EQUAL_PART = 0.4;
@@ -34,7 +40,7 @@
     private static final double LEAST_DEMAND = 1;
 
     /** Seconds of a rate that a restarted instance begins with, as the one before it may just have spent its share. */
-    private static final double RESTART_SECONDS = 1;
+    private static final double RESTART_SECONDS = 2;
 
     private AllowanceShare() {}
 
@@ -120,7 +126,7 @@
     }
 
     /**
-     * Divides a team's limit by demand as long as all instances tell theirs, else equally.
+     * Divides a team's limit by the demand that all instances told last; equally while it is not known.
      *
      * <p>Each instance counts itself with what it told the others, so that all compute the same shares.
      */
@@ -129,15 +135,18 @@
         final double equal = 1.0 / board.serving().site().instances();
         final double own = section.told().getOrDefault(team, 0.0);
         double all = own;
+        boolean fresh = true;
         for (final Member other : board.serving().site().others()) {
             final PeerDemand demand = section.peers().get(other.name());
             if (demand == null || demand.at().plus(DEMAND_LIFE).isBefore(now)) {
                 return DEMAND_HANDED_OUT * equal;
             }
+            fresh = fresh && demand.at().plus(FRESH_DEMAND).isAfter(now);
             all += demand.units().getOrDefault(team, 0.0);
         }
         final double byDemand = all < LEAST_DEMAND ? equal : own / all;
-        return DEMAND_HANDED_OUT * (EQUAL_PART * equal + (1 - EQUAL_PART) * byDemand);
+        final double part = fresh ? byDemand : Math.min(byDemand, LARGEST_STALE_PART * equal);
+        return DEMAND_HANDED_OUT * (EQUAL_PART * equal + (1 - EQUAL_PART) * part);
     }
 
     private static double share(final Blackboard board) {
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -31,8 +31,11 @@
     /** Time between two looks for an upstream while a call waits. */
     private static final Duration QUEUE_INTERVAL = Duration.ofMillis(40);
 
-    /** Part of the latency target that a call may wait for an upstream. */
-    private static final int QUEUE_SHARE = 3;
+    /** Part of the latency target that a call may wait and still be on time. */
+    private static final double ON_TIME_SHARE = 0.6;
+
+    /** How long a call to an engine waits for room beyond its latency target; about the length of an answer. */
+    private static final Duration LATE_PATIENCE = Duration.ofSeconds(2);
 
     /** When a refused caller should come back. */
     private static final Duration REFUSAL_RETRY = Duration.ofMillis(300);
@@ -83,9 +86,23 @@
      * @return the time, never null
      */
     static Duration queuePatience(final Call call, final Instant now) {
-        final Duration share = call.route().latencyTarget().dividedBy(QUEUE_SHARE);
+        final Duration target = call.route().latencyTarget();
+        final Duration patience =
+                call.route().kind() instanceof RouteKind.EventStream ? target.plus(LATE_PATIENCE) : target;
         final Duration left = Duration.between(now, call.deadline()).dividedBy(2);
-        return share.compareTo(left) < 0 ? share : left;
+        return patience.compareTo(left) < 0 ? patience : left;
+    }
+
+    /**
+     * Tells whether a call that is sent now can be answered within its latency target.
+     *
+     * @param call the call, not null
+     * @param now the present time, not null
+     * @return true if it can
+     */
+    static boolean canBeOnTime(final Call call, final Instant now) {
+        final Duration waited = Duration.between(call.demand().receivedAt(), now);
+        return waited.toNanos() <= call.route().latencyTarget().toNanos() * ON_TIME_SHARE;
     }
 
     private static Outcome<CallSection> queue(
--- a/src/main/java/org/lacewingstep/controller/LifecycleController.java
+++ b/src/main/java/org/lacewingstep/controller/LifecycleController.java
@@ -15,8 +15,8 @@
 public final class LifecycleController implements Controller<LifecycleSection> {
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
 
-    /** Time kept before the kill for closing connections. */
-    private static final Duration EXIT_MARGIN = Duration.ofMillis(700);
+    /** Time kept before the kill for two checks and for closing connections. */
+    private static final Duration EXIT_MARGIN = Duration.ofMillis(1300);
 
     @Override
     public Class<LifecycleSection> section() {
--- a/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
@@ -38,6 +38,12 @@
     /** Weight of the number that orders upstreams of equal load, below that of any difference in load. */
     private static final double TIE_WEIGHT = 0.25;
 
+    /** Part of an engine's memory that predicted ends may sum up to, since few requests are at their end at once. */
+    private static final double MEMORY_PART = 1.2;
+
+    /** The same for a call that is late already, so that others can be on time. */
+    private static final double LATE_MEMORY_PART = 1.0;
+
     private UpstreamChoice() {}
 
     /**
@@ -67,6 +73,29 @@
                 .map(Candidate::upstream);
     }
 
+    /**
+     * Tells whether a prefill upstream is well but may not get the call now.
+     *
+     * @param board the blackboard, not null
+     * @param call the call, not null
+     * @param upstream the upstream that answers, not null
+     * @param now the present time, not null
+     * @return true if it is worth waiting for one
+     */
+    static boolean awaitsPrefill(
+            final Blackboard board, final Call call, final RegisteredUpstream upstream, final Instant now) {
+        return upstream.role() == UpstreamRole.DECODE
+                && call.attempts() == 0
+                && board.serving().registry().upstreams().values().stream()
+                        .map(Entry::upstream)
+                        .anyMatch(other -> other.role() == UpstreamRole.PREFILL
+                                && other.service().equals(call.service())
+                                && !other.draining()
+                                && !board.serving().routing().takenOut().contains(other.failureDomain())
+                                && isAtHome(board, call, other)
+                                && !restsAsEngine(board, other, now));
+    }
+
     private static boolean isAllowed(final Blackboard board, final Call call, final Entry entry, final Instant now) {
         final RegisteredUpstream upstream = entry.upstream();
         return upstream.service().equals(call.service())
@@ -75,6 +104,7 @@
                 && !call.tried().contains(upstream.name())
                 && !board.serving().routing().takenOut().contains(upstream.failureDomain())
                 && isAtHome(board, call, upstream)
+                && !restsAsEngine(board, upstream, now)
                 && hasRoom(board, call, upstream, now)
                 && bearsColdStart(board, upstream, now);
     }
@@ -101,7 +131,14 @@
             return true;
         }
         final UpstreamUse use = board.serving().loads().use(upstream.name(), now);
-        return use.requests() == 0 || use.tokens() + call.tokens() <= service.memoryTokens();
+        final double part = CallPlacement.canBeOnTime(call, now) ? MEMORY_PART : LATE_MEMORY_PART;
+        return use.requests() == 0 || use.tokens() + call.tokens() <= service.memoryTokens() * part;
+    }
+
+    /** A prompt that is processed for an engine that then refuses is lost, so a resting engine gets nothing. */
+    private static boolean restsAsEngine(final Blackboard board, final RegisteredUpstream upstream, final Instant now) {
+        return upstream.role() != UpstreamRole.PLAIN
+                && load(board, upstream).avoidUntil().isAfter(now);
     }
 
     /** An upstream may turn cold before its entry says so, so each is treated as if it were. */
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -30,7 +30,7 @@
     /** Longest time between two messages, so that silence shows that an instance is cut off. */
     private static final Duration BROADCAST_INTERVAL = Duration.ofSeconds(1);
 
-    /** An upstream that refused since it is full is left alone for so long. */
+    /** An upstream that refused is left alone for so long, doubled with each further refusal. */
     private static final Duration FULL_REST = Duration.ofMillis(150);
 
     /** An upstream that sends nothing gets no new work for so long. */
@@ -50,6 +50,7 @@
 
     private static final int SERVER_ERROR = 500;
     private static final int HIGHEST_DOUBLING = 3;
+    private static final int HIGHEST_REFUSAL_DOUBLING = 4;
 
     @Override
     public Class<UpstreamLoadSection> section() {
@@ -125,6 +126,7 @@
                         arrivals.plus(now),
                         load.failureShare(),
                         load.failuresInRow(),
+                        load.refusalsInRow(),
                         load.avoidUntil()));
     }
 
@@ -141,6 +143,7 @@
                 load.arrivals(),
                 load.failureShare(),
                 load.failuresInRow(),
+                load.refusalsInRow(),
                 load.avoidUntil());
         return with(
                 section, name, result.map(ended -> judged(freed, ended, now)).orElse(freed));
@@ -150,8 +153,7 @@
         return switch (result) {
             case CallResult.Served() -> served(load);
             case CallResult.FailedByUpstream(int status) -> status < SERVER_ERROR ? served(load) : erred(load);
-            case CallResult.NotRun(boolean reached) ->
-                reached ? resting(load, now.plus(FULL_REST)) : failed(load, true, now);
+            case CallResult.NotRun(boolean reached) -> reached ? refused(load, now) : failed(load, true, now);
             case CallResult.Broken(boolean silent, boolean begun) -> failed(load, silent, now);
         };
     }
@@ -163,6 +165,7 @@
                 load.arrivals(),
                 load.failureShare() * (1 - LATEST_WEIGHT),
                 0,
+                0,
                 Instant.EPOCH);
     }
 
@@ -174,6 +177,7 @@
                 load.arrivals(),
                 load.failureShare() * (1 - LATEST_WEIGHT) + LATEST_WEIGHT,
                 load.failuresInRow(),
+                load.refusalsInRow(),
                 load.avoidUntil());
     }
 
@@ -189,9 +193,25 @@
                 load.arrivals(),
                 load.failureShare() * (1 - LATEST_WEIGHT) + LATEST_WEIGHT,
                 failures,
+                load.refusalsInRow(),
                 rests && until.isAfter(load.avoidUntil()) ? until : load.avoidUntil());
     }
 
+    /** One refusal says that an upstream is full; many in a row say that it does not serve at all. */
+    private static Load refused(final Load load, final Instant now) {
+        final int refusals = load.refusalsInRow() + 1;
+        final Duration rest = FULL_REST.multipliedBy(1L << Math.min(HIGHEST_REFUSAL_DOUBLING, refusals - 1));
+        final Load counted = new Load(
+                load.startedAtMillis(),
+                load.running(),
+                load.arrivals(),
+                load.failureShare(),
+                load.failuresInRow(),
+                refusals,
+                load.avoidUntil());
+        return resting(counted, now.plus(rest));
+    }
+
     private static Load resting(final Load load, final Instant until) {
         return new Load(
                 load.startedAtMillis(),
@@ -199,6 +219,7 @@
                 load.arrivals(),
                 load.failureShare(),
                 load.failuresInRow(),
+                load.refusalsInRow(),
                 until.isAfter(load.avoidUntil()) ? until : load.avoidUntil());
     }
 
