Ask a refusing store no sooner than after a second, and forget what is gone

Found in reading: a refused lease was asked for again at once, so a store that refuses quickly got hundreds of calls a second from each instance (test failed first); loads of upstreams and instances that are gone stayed for good; SIGHUP during the start ended the process. Judgements of upstreams and the collecting of whole answers stand once.

--- a/src/main/java/org/lacewingstep/blackboard/UpstreamLoadSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/UpstreamLoadSection.java
@@ -84,10 +84,57 @@
             int refusalsInRow,
             Instant avoidUntil) {
         /** The load of an upstream that was sent nothing. */
-        public static final Load NONE = new Load(0, UpstreamUse.NONE, TreePVector.empty(), 0, 0, 0, Instant.EPOCH);
+        public static final Load NONE = startedAt(0);
+
+        /**
+         * Creates the load of an upstream that has just started.
+         *
+         * @param startedAtMillis the start of the upstream
+         * @return the load, never null
+         */
+        public static Load startedAt(final long startedAtMillis) {
+            return new Load(startedAtMillis, UpstreamUse.NONE, TreePVector.empty(), 0, 0, 0, Instant.EPOCH);
+        }
 
         private static final Duration SECOND = Duration.ofSeconds(1);
 
+        /**
+         * Copies this load with other attempts.
+         *
+         * @param next attempts that have not ended, not null
+         * @param nextArrivals when requests were sent, oldest first, not null
+         * @return the copy, never null
+         */
+        public Load withRunning(final UpstreamUse next, final PVector<Instant> nextArrivals) {
+            return new Load(
+                    startedAtMillis, next, nextArrivals, failureShare, failuresInRow, refusalsInRow, avoidUntil);
+        }
+
+        /**
+         * Copies this load with another judgement.
+         *
+         * @param nextShare moving share of attempts that failed, 0 to 1
+         * @param nextFailures attempts that failed since the last one that was served
+         * @param nextRefusals attempts that it refused since then
+         * @param nextAvoidUntil when it may get work again, not null
+         * @return the copy, never null
+         */
+        public Load withJudgement(
+                final double nextShare, final int nextFailures, final int nextRefusals, final Instant nextAvoidUntil) {
+            return new Load(startedAtMillis, running, arrivals, nextShare, nextFailures, nextRefusals, nextAvoidUntil);
+        }
+
+        /**
+         * Copies this load with a rest that is no shorter than before.
+         *
+         * @param until when the upstream may get work again, not null
+         * @return the copy, never null
+         */
+        public Load resting(final Instant until) {
+            return withJudgement(
+                    failureShare, failuresInRow, refusalsInRow, until.isAfter(avoidUntil) ? until : avoidUntil);
+        }
+
         /**
          * Counts the requests sent in the last second.
          *
--- a/src/main/java/org/lacewingstep/command/SiteProcess.java
+++ b/src/main/java/org/lacewingstep/command/SiteProcess.java
@@ -59,16 +59,15 @@
     private final HttpClient client = HttpClients.create(execution);
     private final MetricRegistry metrics = new MetricRegistry();
     private final int metricsPort;
-    private final Path file;
     private final PeerNetwork peers;
     private final PlatformSettings settings;
     private final CountDownLatch stopped = new CountDownLatch(1);
+    private final SettingsWatch watch;
 
     private RatpackServer callerServer;
     private SiteEffects effects;
     private RatpackServer metricsServer;
     private RatpackServer readyServer;
-    private SettingsWatch watch;
 
     /**
      * Creates the parts.
@@ -77,9 +76,9 @@
      * @param metricsPort the port of metrics and state dump
      */
     SiteProcess(final Path file, final int metricsPort) {
-        this.file = file;
         this.metricsPort = metricsPort;
         this.settings = PlatformSettings.read(file);
+        this.watch = new SettingsWatch(file, changed -> post(new Event.SiteReloaded(changed.policy())));
         final Incarnation incarnation = new Incarnation(settings.policy().instance(), System.currentTimeMillis());
         final Member self = new Member(
                 incarnation, settings.peerAddress(), settings.policy().failureDomain());
@@ -110,6 +109,8 @@
 
     /** Starts everything. */
     void start() throws Exception {
+        // First, since SIGHUP ends a process that does not handle it.
+        watch.start();
         final CallDesk desk = new CallDesk(
                 new PlatformDialect(),
                 new UpstreamPools(TransportDetector.getSocketChannelImpl()),
@@ -130,8 +131,6 @@
         final OperatorHandlers operators = new OperatorHandlers(control::board, metrics);
         readyServer = serve(settings.readyAddress(), operators);
         metricsServer = serve(new PeerAddress(settings.callerAddress().host(), metricsPort), operators);
-        watch = new SettingsWatch(file, changed -> control.post(new Event.SiteReloaded(changed.policy())));
-        watch.start();
         Runtime.getRuntime().addShutdownHook(new Thread(this::drain, "drain"));
         LOGGER.atInfo()
                 .addKeyValue("step", "start")
--- a/src/main/java/org/lacewingstep/controller/CallEnding.java
+++ b/src/main/java/org/lacewingstep/controller/CallEnding.java
@@ -20,9 +20,6 @@
 
 /** Decides what follows when an attempt of a call ends. */
 final class CallEnding {
-    /** When a refused caller should come back. */
-    private static final Duration REFUSAL_RETRY = Duration.ofMillis(300);
-
     private static final int SERVER_ERROR = 500;
 
     private CallEnding() {}
@@ -96,8 +93,8 @@
         }
         final CallInstruction instruction = call.mayHaveRun()
                 ? new CallInstruction.Fail(ErrorCode.UPSTREAM_FAILED, "the upstreams failed")
-                : new CallInstruction.Refuse(
-                        new Refusal(ErrorCode.NO_CAPACITY, "the upstream did not take the request", REFUSAL_RETRY));
+                : new CallInstruction.Refuse(new Refusal(
+                        ErrorCode.NO_CAPACITY, "the upstream did not take the request", CallPlacement.REFUSAL_RETRY));
         return instruct(board, call, instruction, draft, new CallResult.NotRun(reached));
     }
 
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -38,7 +38,7 @@
     private static final Duration LATE_PATIENCE = Duration.ofSeconds(2);
 
     /** When a refused caller should come back. */
-    private static final Duration REFUSAL_RETRY = Duration.ofMillis(300);
+    static final Duration REFUSAL_RETRY = Duration.ofMillis(300);
 
     /** How long a processed prompt is used, within the half second for which it is kept. */
     private static final Duration PROMPT_LIFE = Duration.ofMillis(350);
--- a/src/main/java/org/lacewingstep/controller/SiteController.java
+++ b/src/main/java/org/lacewingstep/controller/SiteController.java
@@ -44,7 +44,7 @@
             case Event.SiteReloaded(SitePolicy policy) -> reload(site, policy);
             case Event.TimerFired(TimerKey.Presence()) -> renew(board, now);
             case Event.PresenceRenewed(long lease) -> Outcome.of(withLease(site, lease));
-            case Event.PresenceUnrenewed(boolean lapsed) -> retry(board, lapsed ? withLease(site, 0) : site, now);
+            case Event.PresenceUnrenewed(boolean lapsed) -> retry(lapsed ? withLease(site, 0) : site, now);
             case Event.StoreRead(var content, long revision, var askedAt) ->
                 Outcome.of(withPresent(site, apply(HashTreePMap.empty(), content)));
             case Event.StoreChanged(var changes, long revision) ->
@@ -57,7 +57,6 @@
             final Blackboard board, final SitePolicy policy, final boolean firstStart) {
         final SiteSection site = board.serving().site();
         final Draft draft = new Draft();
-        draft.add(new Effect.RenewPresence(board.identity().member(), 0, LEASE_LIFE));
         draft.add(new Event.TimerFired(new TimerKey.Presence()));
         draft.add(new Effect.Log(
                 Decision.of("settings", "in force", Input.of("failure_domain", policy.failureDomain()))));
@@ -74,20 +73,15 @@
     private static Outcome<SiteSection> renew(final Blackboard board, final Instant now) {
         final SiteSection site = board.serving().site();
         final Draft draft = new Draft();
+        draft.add(new Effect.RenewPresence(board.identity().member(), site.lease(), LEASE_LIFE));
         draft.add(new Effect.StartTimer(new TimerKey.Presence(), now.plus(RENEWAL_INTERVAL)));
-        if (site.lease() != 0) {
-            draft.add(new Effect.RenewPresence(board.identity().member(), site.lease(), LEASE_LIFE));
-        }
         return draft.outcome(site);
     }
 
-    private static Outcome<SiteSection> retry(final Blackboard board, final SiteSection site, final Instant now) {
+    /** A store that refuses at once must not be asked again at once. */
+    private static Outcome<SiteSection> retry(final SiteSection site, final Instant now) {
         final Draft draft = new Draft();
-        if (site.lease() == 0) {
-            draft.add(new Effect.RenewPresence(board.identity().member(), 0, LEASE_LIFE));
-        } else {
-            draft.add(new Effect.StartTimer(new TimerKey.Presence(), now.plus(RETRY_INTERVAL)));
-        }
+        draft.add(new Effect.StartTimer(new TimerKey.Presence(), now.plus(RETRY_INTERVAL)));
         return draft.outcome(site);
     }
 
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -17,9 +17,11 @@
 import org.lacewingstep.blackboard.UpstreamLoadSection.Load;
 import org.lacewingstep.blackboard.UpstreamLoadSection.PeerLoad;
 import org.lacewingstep.domain.Incarnation;
+import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamUse;
+import org.pcollections.PMap;
 import org.pcollections.PVector;
 
 /** Counts what this instance has at upstreams and judges them by how they served it. */
@@ -36,12 +38,9 @@
     /** An upstream that sends nothing gets no new work for so long. */
     private static final Duration QUIET_REST = Duration.ofSeconds(1);
 
-    /** First rest of an upstream that cannot be reached or fell silent; doubled with each further failure. */
+    /** First rest of an upstream that cannot be reached or fell silent; doubled with up to three further failures. */
     private static final Duration SILENT_REST = Duration.ofSeconds(1);
 
-    /** Longest rest of an upstream. */
-    private static final Duration LONGEST_REST = Duration.ofSeconds(8);
-
     /** Failures in a row after which an upstream rests. */
     private static final int FAILURES_TO_REST = 2;
 
@@ -67,17 +66,37 @@
             case Event.UpstreamReleased(UpstreamName name, long tokens, Optional<CallResult> result) ->
                 announced(released(section, name, tokens, result, now), now);
             case Event.UpstreamQuiet(UpstreamName name) ->
-                Outcome.of(with(section, name, resting(section.of(name), now.plus(QUIET_REST))));
+                Outcome.of(with(section, name, section.of(name).resting(now.plus(QUIET_REST))));
             case Event.TimerFired(TimerKey.LoadBroadcast()) -> broadcast(board, now);
             case Event.PeerMessageReceived(Incarnation sender, PeerMessage.SiteLoad load) ->
                 Outcome.of(new UpstreamLoadSection(
                         section.loads(),
                         section.peers().plus(sender.instance(), new PeerLoad(now, load.uses())),
                         section.broadcastDue()));
+            case Event.StoreRead(var content, long revision, Instant askedAt) -> Outcome.of(forgotten(board, section));
+            case Event.StoreChanged(var changes, long revision) -> Outcome.of(forgotten(board, section));
             default -> Outcome.of(section);
         };
     }
 
+    /** Forgets upstreams and instances that are gone. */
+    private static UpstreamLoadSection forgotten(final Blackboard board, final UpstreamLoadSection section) {
+        PMap<UpstreamName, Load> loads = section.loads();
+        for (final Map.Entry<UpstreamName, Load> entry : section.loads().entrySet()) {
+            final boolean idle = entry.getValue().running().requests() == 0;
+            if (idle && !board.serving().registry().upstreams().containsKey(entry.getKey())) {
+                loads = loads.minus(entry.getKey());
+            }
+        }
+        PMap<InstanceName, PeerLoad> peers = section.peers();
+        for (final InstanceName instance : section.peers().keySet()) {
+            if (!board.serving().site().present().containsKey(instance)) {
+                peers = peers.minus(instance);
+            }
+        }
+        return new UpstreamLoadSection(loads, peers, section.broadcastDue());
+    }
+
     /** Lets the others know soon, together with what changes until then. */
     private static Outcome<UpstreamLoadSection> announced(final UpstreamLoadSection section, final Instant now) {
         final Instant due = now.plus(BROADCAST_DELAY);
@@ -111,23 +130,16 @@
             final long tokens,
             final Instant now) {
         final Load known = section.of(upstream.name());
-        final Load load = known.startedAtMillis() == upstream.startedAtMillis() ? known : Load.NONE;
+        final Load load = known.startedAtMillis() == upstream.startedAtMillis()
+                ? known
+                : Load.startedAt(upstream.startedAtMillis());
         final Instant oldest = now.minusSeconds(1);
         PVector<Instant> arrivals = load.arrivals();
         while (!arrivals.isEmpty() && !arrivals.getFirst().isAfter(oldest)) {
             arrivals = arrivals.minus(0);
         }
-        return with(
-                section,
-                upstream.name(),
-                new Load(
-                        upstream.startedAtMillis(),
-                        load.running().plus(new UpstreamUse(1, tokens)),
-                        arrivals.plus(now),
-                        load.failureShare(),
-                        load.failuresInRow(),
-                        load.refusalsInRow(),
-                        load.avoidUntil()));
+        final UpstreamUse running = load.running().plus(new UpstreamUse(1, tokens));
+        return with(section, upstream.name(), load.withRunning(running, arrivals.plus(now)));
     }
 
     private static UpstreamLoadSection released(
@@ -137,14 +149,7 @@
             final Optional<CallResult> result,
             final Instant now) {
         final Load load = section.of(name);
-        final Load freed = new Load(
-                load.startedAtMillis(),
-                load.running().minusOne(tokens),
-                load.arrivals(),
-                load.failureShare(),
-                load.failuresInRow(),
-                load.refusalsInRow(),
-                load.avoidUntil());
+        final Load freed = load.withRunning(load.running().minusOne(tokens), load.arrivals());
         return with(
                 section, name, result.map(ended -> judged(freed, ended, now)).orElse(freed));
     }
@@ -159,68 +164,32 @@
     }
 
     private static Load served(final Load load) {
-        return new Load(
-                load.startedAtMillis(),
-                load.running(),
-                load.arrivals(),
-                load.failureShare() * (1 - LATEST_WEIGHT),
-                0,
-                0,
-                Instant.EPOCH);
+        return load.withJudgement(load.failureShare() * (1 - LATEST_WEIGHT), 0, 0, Instant.EPOCH);
     }
 
     /** Some calls fail at any upstream of a service, so an error of its own only makes it less likely to be chosen. */
     private static Load erred(final Load load) {
-        return new Load(
-                load.startedAtMillis(),
-                load.running(),
-                load.arrivals(),
-                load.failureShare() * (1 - LATEST_WEIGHT) + LATEST_WEIGHT,
-                load.failuresInRow(),
-                load.refusalsInRow(),
-                load.avoidUntil());
+        return load.withJudgement(raisedShare(load), load.failuresInRow(), load.refusalsInRow(), load.avoidUntil());
     }
 
     private static Load failed(final Load load, final boolean silent, final Instant now) {
         final int failures = load.failuresInRow() + 1;
         final int doublings = Math.min(HIGHEST_DOUBLING, failures - 1);
         final Duration rest = SILENT_REST.multipliedBy(1L << doublings);
-        final boolean rests = silent || failures >= FAILURES_TO_REST;
-        final Instant until = now.plus(rest.compareTo(LONGEST_REST) < 0 ? rest : LONGEST_REST);
-        return new Load(
-                load.startedAtMillis(),
-                load.running(),
-                load.arrivals(),
-                load.failureShare() * (1 - LATEST_WEIGHT) + LATEST_WEIGHT,
-                failures,
-                load.refusalsInRow(),
-                rests && until.isAfter(load.avoidUntil()) ? until : load.avoidUntil());
+        final Load counted = load.withJudgement(raisedShare(load), failures, load.refusalsInRow(), load.avoidUntil());
+        return silent || failures >= FAILURES_TO_REST ? counted.resting(now.plus(rest)) : counted;
     }
 
     /** One refusal says that an upstream is full; many in a row say that it does not serve at all. */
     private static Load refused(final Load load, final Instant now) {
         final int refusals = load.refusalsInRow() + 1;
         final Duration rest = FULL_REST.multipliedBy(1L << Math.min(HIGHEST_REFUSAL_DOUBLING, refusals - 1));
-        final Load counted = new Load(
-                load.startedAtMillis(),
-                load.running(),
-                load.arrivals(),
-                load.failureShare(),
-                load.failuresInRow(),
-                refusals,
-                load.avoidUntil());
-        return resting(counted, now.plus(rest));
+        return load.withJudgement(load.failureShare(), load.failuresInRow(), refusals, load.avoidUntil())
+                .resting(now.plus(rest));
     }
 
-    private static Load resting(final Load load, final Instant until) {
-        return new Load(
-                load.startedAtMillis(),
-                load.running(),
-                load.arrivals(),
-                load.failureShare(),
-                load.failuresInRow(),
-                load.refusalsInRow(),
-                until.isAfter(load.avoidUntil()) ? until : load.avoidUntil());
+    private static double raisedShare(final Load load) {
+        return load.failureShare() * (1 - LATEST_WEIGHT) + LATEST_WEIGHT;
     }
 
     private static UpstreamLoadSection with(
--- a/src/main/java/org/lacewingstep/platform/RoutingCodec.java
+++ b/src/main/java/org/lacewingstep/platform/RoutingCodec.java
@@ -68,7 +68,7 @@
                 node.path("pathPrefix").asText(),
                 kind(node),
                 Duration.ofMillis(number(node, "timeoutMs")),
-                Duration.ofMillis(number(node, "targetLatencyMs")),
+                Duration.ofMillis(node.path("targetLatencyMs").asLong(number(node, "timeoutMs"))),
                 (int) Math.max(1, node.path("maxAttempts").asLong(1)),
                 node.path("anonymous").asBoolean(),
                 targets(node),
--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -23,10 +23,12 @@
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.traffic.CallDialect.AnswerKind;
 import org.lacewingstep.traffic.CallDialect.PromptMemory;
+import org.lacewingstep.upstream.AnswerCollector;
 import org.lacewingstep.upstream.ExchangeEvent;
 import org.lacewingstep.upstream.ExchangeRequest;
 import org.lacewingstep.upstream.UpstreamExchange;
 import org.lacewingstep.upstream.UpstreamPool;
+import org.lacewingstep.upstream.WholeAnswer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import ratpack.exec.Downstream;
@@ -148,33 +150,25 @@
 
     private void prefill(final Send next, final RegisteredUpstream upstream) {
         final HttpHeaders headers = desk.dialect().prefillHeaders(received, next, desk.now());
-        final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        final HttpResponse[] answered = new HttpResponse[1];
-        exchange = pool.send(exchangeRequest(next, upstream.address(), headers, PREFILL_LIMIT), event -> {
-            switch (event) {
-                case ExchangeEvent.Head(HttpResponse response) -> answered[0] = response;
-                case ExchangeEvent.Body(ByteBuf content) -> append(body, content);
-                case ExchangeEvent.Quiet() -> desk.post(new Event.UpstreamQuiet(upstream.name()));
-                case ExchangeEvent.Complete() -> prefilled(next, upstream.address(), answered[0], body.toByteArray());
-                case ExchangeEvent.Failed failed -> {
-                    note(upstream, failed);
-                    prefillFailed(next, broken(failed));
-                }
-            }
-        });
+        exchange = pool.send(
+                exchangeRequest(next, upstream.address(), headers, PREFILL_LIMIT),
+                new AnswerCollector(
+                        answer -> prefilled(next, upstream.address(), answer),
+                        failed -> {
+                            note(upstream, failed);
+                            prefillFailed(next, broken(failed));
+                        },
+                        () -> desk.post(new Event.UpstreamQuiet(upstream.name()))));
     }
 
-    private void prefilled(final Send next, final PeerAddress holder, final HttpResponse response, final byte[] body) {
-        if (response.status().code() != HTTP_OK) {
-            final boolean notRun = desk.dialect().kind(response) instanceof AnswerKind.NotRun;
-            prefillFailed(
-                    next,
-                    notRun
-                            ? new CallResult.NotRun(true)
-                            : new CallResult.FailedByUpstream(response.status().code()));
+    private void prefilled(final Send next, final PeerAddress holder, final WholeAnswer answer) {
+        final int status = answer.head().status().code();
+        if (status != HTTP_OK) {
+            final boolean notRun = desk.dialect().kind(answer.head()) instanceof AnswerKind.NotRun;
+            prefillFailed(next, notRun ? new CallResult.NotRun(true) : new CallResult.FailedByUpstream(status));
             return;
         }
-        final Optional<PromptMemory> memory = desk.dialect().promptMemory(holder, body);
+        final Optional<PromptMemory> memory = desk.dialect().promptMemory(holder, answer.body());
         keptPrompt = memory;
         desk.post(new Event.PrefillEnded(
                 request,
--- a/src/main/java/org/lacewingstep/upstream/WholeAnswer.java
+++ b/src/main/java/org/lacewingstep/upstream/WholeAnswer.java
@@ -1,11 +1,6 @@
 package org.lacewingstep.upstream;
 
-import java.io.ByteArrayOutputStream;
-
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpResponse;
-import ratpack.exec.Downstream;
 import ratpack.exec.Promise;
 
 /**
@@ -23,38 +18,9 @@
      * @return the answer, whatever its status; fails with an {@link ExchangeFailure} if it breaks off
      */
     public static Promise<WholeAnswer> of(final UpstreamPool pool, final ExchangeRequest request) {
-        return Promise.async(receiver -> {
-            final Collector collector = new Collector(receiver);
-            pool.send(request, collector::accept);
-        });
-    }
-
-    /** Collects the parts of one answer. */
-    private static final class Collector {
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private final Downstream<? super WholeAnswer> receiver;
-
-        private HttpResponse head;
-
-        Collector(final Downstream<? super WholeAnswer> receiver) {
-            this.receiver = receiver;
-        }
-
-        void accept(final ExchangeEvent event) {
-            switch (event) {
-                case ExchangeEvent.Head(HttpResponse response) -> head = response;
-                case ExchangeEvent.Body(ByteBuf content) -> append(content);
-                case ExchangeEvent.Quiet() -> {
-                    // The request goes on until its limit.
-                }
-                case ExchangeEvent.Complete() -> receiver.success(new WholeAnswer(head, body.toByteArray()));
-                case ExchangeEvent.Failed failed -> receiver.error(new ExchangeFailure(failed));
-            }
-        }
-
-        private void append(final ByteBuf content) {
-            body.writeBytes(ByteBufUtil.getBytes(content));
-            content.release();
-        }
+        return Promise.async(receiver -> pool.send(
+                request,
+                new AnswerCollector(
+                        receiver::success, failed -> receiver.error(new ExchangeFailure(failed)), () -> {})));
     }
 }
