Give large requests their turn at a team's rate and at an engine's memory

A call was sent only if its team's bucket held all its units and an engine had room for its whole predicted end; small calls took both before a large one could.

A large call needs no more free memory than an eighth, about a usual call.

--- a/src/main/java/org/lacewingstep/blackboard/AllowanceSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/AllowanceSection.java
@@ -3,11 +3,11 @@
 import java.time.Instant;
 import java.util.Map;
 
+import org.lacewingstep.domain.AllowanceBucket;
 import org.lacewingstep.domain.DecayingSum;
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.RetryCredit;
 import org.lacewingstep.domain.TeamName;
-import org.lacewingstep.domain.TokenBucket;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
@@ -23,7 +23,7 @@
  */
 public record AllowanceSection(
         long tableRevision,
-        PMap<TeamName, TokenBucket> teams,
+        PMap<TeamName, AllowanceBucket> teams,
         RetryCredit repeats,
         PMap<TeamName, DecayingSum> asked,
         Map<TeamName, Double> told,
@@ -48,7 +48,7 @@
      * @param nextTeams the buckets, not null
      * @return the copy, never null
      */
-    public AllowanceSection withTeams(final long nextRevision, final PMap<TeamName, TokenBucket> nextTeams) {
+    public AllowanceSection withTeams(final long nextRevision, final PMap<TeamName, AllowanceBucket> nextTeams) {
         return new AllowanceSection(nextRevision, nextTeams, repeats, asked, told, peers);
     }
 
--- a/src/main/java/org/lacewingstep/controller/AllowanceController.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceController.java
@@ -10,10 +10,10 @@
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.PeerMessage;
 import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.domain.AllowanceBucket;
 import org.lacewingstep.domain.DecayingSum;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.TeamName;
-import org.lacewingstep.domain.TokenBucket;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
@@ -63,9 +63,9 @@
         if (section.tableRevision() == revision) {
             return section;
         }
-        PMap<TeamName, TokenBucket> teams = HashTreePMap.empty();
+        PMap<TeamName, AllowanceBucket> teams = HashTreePMap.empty();
         for (final TeamName team : board.serving().routing().table().teams().keySet()) {
-            final Optional<TokenBucket> bucket = AllowanceShare.bucket(board, team, now);
+            final Optional<AllowanceBucket> bucket = AllowanceShare.bucket(board, team, now);
             teams = bucket.isPresent() ? teams.plus(team, bucket.get()) : teams;
         }
         return section.withTeams(revision, teams);
@@ -76,11 +76,7 @@
         final AllowanceSection section = board.serving().allowances();
         return AllowanceShare.bucket(board, team, now)
                 .map(bucket -> section.withTeams(
-                        section.tableRevision(), section.teams().plus(team, spent(bucket, units, now))))
+                        section.tableRevision(), section.teams().plus(team, bucket.spend(units))))
                 .orElse(section);
     }
-
-    private static TokenBucket spent(final TokenBucket bucket, final long units, final Instant now) {
-        return bucket.debit(Math.min(units, bucket.level())).forgetBefore(now);
-    }
 }
--- a/src/main/java/org/lacewingstep/controller/AllowanceShare.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceShare.java
@@ -9,12 +9,12 @@
 import org.lacewingstep.blackboard.AllowanceSection;
 import org.lacewingstep.blackboard.AllowanceSection.PeerDemand;
 import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.domain.AllowanceBucket;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.RetryCredit;
 import org.lacewingstep.domain.SitePolicy;
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
-import org.lacewingstep.domain.TokenBucket;
 
 /** Computes this instance's share of what all instances together may spend. */
 final class AllowanceShare {
@@ -52,7 +52,7 @@
      * @param now the present time, not null
      * @return the bucket, empty if the team has no limit
      */
-    static Optional<TokenBucket> bucket(final Blackboard board, final TeamName team, final Instant now) {
+    static Optional<AllowanceBucket> bucket(final Blackboard board, final TeamName team, final Instant now) {
         final TeamAllowance allowance =
                 board.serving().routing().table().teams().get(team);
         if (allowance == null || !allowance.isLimited()) {
@@ -62,12 +62,12 @@
         final double share = teamShare(board, team, now);
         final double rate = allowance.unitsPerSecond() * (1 + policy.rateExcess()) * share;
         final double capacity = (allowance.burst() * (1 + policy.rateExcess()) + policy.rateSlack()) * share;
-        final TokenBucket known = board.serving().allowances().teams().get(team);
+        final AllowanceBucket known = board.serving().allowances().teams().get(team);
         if (known == null) {
             final double first = board.serving().site().firstStart() ? capacity : rate * RESTART_SECONDS;
-            return Optional.of(TokenBucket.of(rate, capacity, first, now));
+            return Optional.of(new AllowanceBucket(rate, capacity, Math.min(first, capacity), now));
         }
-        return Optional.of(known.refill(now).resize(rate, capacity));
+        return Optional.of(known.under(rate, capacity, now));
     }
 
     /**
--- a/src/main/java/org/lacewingstep/controller/CallAdmission.java
+++ b/src/main/java/org/lacewingstep/controller/CallAdmission.java
@@ -12,11 +12,11 @@
 import org.lacewingstep.blackboard.LifecycleSection.Stage;
 import org.lacewingstep.blackboard.Refusal;
 import org.lacewingstep.blackboard.RoutingSection;
+import org.lacewingstep.domain.AllowanceBucket;
 import org.lacewingstep.domain.Route;
 import org.lacewingstep.domain.RoutingTable;
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
-import org.lacewingstep.domain.TokenBucket;
 import org.lacewingstep.error.ErrorCode;
 
 /** Decides whether a call is allowed: its route, its key, and what its team may still ask for. */
@@ -114,12 +114,12 @@
         final long units = allowance == null || !allowance.countsTokens()
                 ? 1
                 : demand.tokens().orElse(allowance.plainUnits());
-        final Optional<TokenBucket> bucket = AllowanceShare.bucket(board, team, now);
-        if (bucket.isPresent()
-                && bucket.get().level() < Math.min(units, bucket.get().capacity())) {
-            final Duration wait =
-                    bucket.get().timeUntil(Math.min(units, bucket.get().capacity()));
-            return new Verdict.Refused(new Refusal(ErrorCode.RATE_EXCEEDED, "the team's rate is exceeded", wait));
+        final Optional<AllowanceBucket> bucket = AllowanceShare.bucket(board, team, now);
+        if (bucket.isPresent() && !bucket.get().isOpen()) {
+            return new Verdict.Refused(new Refusal(
+                    ErrorCode.RATE_EXCEEDED,
+                    "the team's rate is exceeded",
+                    bucket.get().untilOpen()));
         }
         return new Verdict.Admitted(call(demand, route, Optional.of(team), units));
     }
--- a/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
@@ -44,6 +44,9 @@
     /** The same for a call that is late already, so that others can be on time. */
     private static final double LATE_MEMORY_PART = 1.0;
 
+    /** Part of a memory that a large call needs free: no more than a usual one, else small ones always go before it. */
+    private static final int TYPICAL_PART = 8;
+
     private UpstreamChoice() {}
 
     /**
@@ -87,26 +90,26 @@
         return upstream.role() == UpstreamRole.DECODE
                 && call.attempts() == 0
                 && board.serving().registry().upstreams().values().stream()
-                        .map(Entry::upstream)
-                        .anyMatch(other -> other.role() == UpstreamRole.PREFILL
-                                && other.service().equals(call.service())
-                                && !other.draining()
-                                && !board.serving().routing().takenOut().contains(other.failureDomain())
-                                && isAtHome(board, call, other)
-                                && !restsAsEngine(board, other, now));
+                        .anyMatch(entry ->
+                                entry.upstream().role() == UpstreamRole.PREFILL && isWell(board, call, entry, now));
     }
 
     private static boolean isAllowed(final Blackboard board, final Call call, final Entry entry, final Instant now) {
+        final RegisteredUpstream upstream = entry.upstream();
+        return isWell(board, call, entry, now)
+                && !call.tried().contains(upstream.name())
+                && hasRoom(board, call, upstream, now)
+                && bearsColdStart(board, upstream, now);
+    }
+
+    private static boolean isWell(final Blackboard board, final Call call, final Entry entry, final Instant now) {
         final RegisteredUpstream upstream = entry.upstream();
         return upstream.service().equals(call.service())
                 && !upstream.draining()
                 && RegistryController.isRemembered(entry, now)
-                && !call.tried().contains(upstream.name())
                 && !board.serving().routing().takenOut().contains(upstream.failureDomain())
                 && isAtHome(board, call, upstream)
-                && !restsAsEngine(board, upstream, now)
-                && hasRoom(board, call, upstream, now)
-                && bearsColdStart(board, upstream, now);
+                && !restsAsEngine(board, upstream, now);
     }
 
     private static boolean isAtHome(final Blackboard board, final Call call, final RegisteredUpstream upstream) {
@@ -132,7 +135,8 @@
         }
         final UpstreamUse use = board.serving().loads().use(upstream.name(), now);
         final double part = CallPlacement.canBeOnTime(call, now) ? MEMORY_PART : LATE_MEMORY_PART;
-        return use.requests() == 0 || use.tokens() + call.tokens() <= service.memoryTokens() * part;
+        final long size = Math.min(call.tokens(), service.memoryTokens() / TYPICAL_PART);
+        return use.requests() == 0 || use.tokens() + size <= service.memoryTokens() * part;
     }
 
     /** A prompt that is processed for an engine that then refuses is lost, so a resting engine gets nothing. */
