--- a/src/main/java/org/lacewingstep/controller/AllowanceShare.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceShare.java
@@ -39,6 +39,9 @@
     /** Units below which a team counts as having asked for nothing. */
     private static final double LEAST_DEMAND = 1;
 
+    /** Part of the slack of a team's bound by which calls that name no tokens may overdraw its buckets. */
+    private static final double PLAIN_OVERDRAFT_PART = 0.5;
+
     /** Seconds of a rate that a restarted instance begins with, as the one before it may just have spent its share. */
     private static final double RESTART_SECONDS = 2;
 
@@ -70,6 +73,19 @@
         return Optional.of(known.under(rate, capacity, now));
     }
 
+    /**
+     * Computes by how much calls that name no tokens may overdraw a team's bucket, so that they need not wait until the
+     * debt of a large request is paid. All instances together stay within what is not handed out.
+     *
+     * @param board the blackboard, not null
+     * @return the units
+     */
+    static double plainOverdraft(final Blackboard board) {
+        return board.serving().site().bounds().rateSlack()
+                * PLAIN_OVERDRAFT_PART
+                / board.serving().site().instances();
+    }
+
     /**
      * Computes the credit for repeated requests as it stands now.
      *
--- a/src/main/java/org/lacewingstep/controller/CallAdmission.java
+++ b/src/main/java/org/lacewingstep/controller/CallAdmission.java
@@ -115,7 +115,9 @@
                 ? 1
                 : demand.tokens().orElse(allowance.plainUnits());
         final Optional<AllowanceBucket> bucket = AllowanceShare.bucket(board, team, now);
-        if (bucket.isPresent() && !bucket.get().isOpen()) {
+        final boolean plain = allowance != null && units <= allowance.plainUnits();
+        final double overdraft = plain ? AllowanceShare.plainOverdraft(board) : 0;
+        if (bucket.isPresent() && !bucket.get().isOpen(overdraft)) {
             return new Verdict.Refused(new Refusal(
                     ErrorCode.RATE_EXCEEDED,
                     "the team's rate is exceeded",
--- a/src/main/java/org/lacewingstep/domain/AllowanceBucket.java
+++ b/src/main/java/org/lacewingstep/domain/AllowanceBucket.java
@@ -8,7 +8,8 @@
 /**
  * A token bucket that may be overdrawn by one request, so that large requests get their turn between small ones.
  *
- * <p>In any window, spending is at most the capacity, what the rate gives in the window, and the largest request.
+ * <p>In any window, spending is at most the capacity, what the rate gives in the window, the overdraft allowed before a
+ * request, and that request.
  *
  * @param unitsPerSecond the rate in units a second, not negative
  * @param capacity the largest level in units, not negative
@@ -54,19 +55,20 @@
     /**
      * Tells whether a request may be sent.
      *
-     * @return true if the bucket is not empty
+     * @param overdraft by how much the bucket may be overdrawn before, in units, not negative
+     * @return true if the level is above that
      */
-    public boolean isOpen() {
-        return level > 0;
+    public boolean isOpen(final double overdraft) {
+        return level > -overdraft;
     }
 
     /**
-     * Computes when the next request may be sent.
+     * Computes when the next request may be sent without an overdraft before it.
      *
      * @return the time until then, zero if one may be sent now
      */
     public Duration untilOpen() {
-        if (isOpen()) {
+        if (isOpen(0)) {
             return Duration.ZERO;
         }
         final double seconds = unitsPerSecond == 0 ? LONGEST_WAIT_SECONDS : (1 - level) / unitsPerSecond;
