Serve queued calls in an order, on release, and let late ones yield

Each queued call searched for an engine every 40 ms on its own, in no order, and a refused one waited 40 ms again; calls that were late already took memory that calls which could be on time then lacked. Every refused caller came back after 300 ms, into the same burst. The reservation test ends its third call now, as a call whose reservation failed reserves elsewhere at once.

--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -12,6 +12,7 @@
 import org.lacewingstep.domain.LoadReport;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
+import org.lacewingstep.domain.RolePlan;
 import org.lacewingstep.domain.Roster;
 import org.lacewingstep.domain.RoutingTable;
 import org.lacewingstep.domain.SitePolicy;
@@ -297,6 +298,15 @@
      */
     record PresenceRenewalFailed(boolean lapsed) implements Event {}
 
+    /**
+     * The store responded to the write of a plan of engine roles, or the response was lost.
+     *
+     * @param plan the plan, not null
+     * @param revision the store's revision of the plan, empty if the plan was refused or may not have been written
+     * @param requestedAt when this process sent the write, not null
+     */
+    record RolePlanWriteEnded(RolePlan plan, Optional<Long> revision, Instant requestedAt) implements Event {}
+
     /**
      * A caller's call was read.
      *
@@ -304,6 +314,13 @@
      */
     record CallArrived(CallParameters parameters) implements Event {}
 
+    /**
+     * Queued calls search for an upstream with capacity, one after the other.
+     *
+     * @param requests the identifiers of the calls in the order in which they are placed, not null
+     */
+    record QueuedCallsDue(List<RequestIdentifier> requests) implements Event {}
+
     /**
      * A caller closed the connection before the response to its call was complete.
      *
--- a/src/main/java/org/lacewingstep/blackboard/TimerKey.java
+++ b/src/main/java/org/lacewingstep/blackboard/TimerKey.java
@@ -2,6 +2,7 @@
 
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.RequestIdentifier;
+import org.lacewingstep.domain.ServiceName;
 
 /** The purpose of a timer; at most one timer runs for each key. */
 public sealed interface TimerKey {
@@ -64,6 +65,9 @@
     /** Reports this instance's use of the upstreams to the other instances. */
     record LoadBroadcast() implements TimerKey {}
 
+    /** Samples how full the engines of each role are. */
+    record RoleSample() implements TimerKey {}
+
     /**
      * Ends a call at its deadline.
      *
@@ -72,9 +76,9 @@
     record CallDeadline(RequestIdentifier request) implements TimerKey {}
 
     /**
-     * Searches for an upstream with capacity for a queued call.
+     * Searches for upstreams with capacity for the queued calls of a service.
      *
-     * @param request the identifier of the call, not null
+     * @param service the service, not null
      */
-    record CallQueue(RequestIdentifier request) implements TimerKey {}
+    record CallQueue(ServiceName service) implements TimerKey {}
 }
--- a/src/main/java/org/lacewingstep/controller/CallCompletion.java
+++ b/src/main/java/org/lacewingstep/controller/CallCompletion.java
@@ -106,7 +106,7 @@
                 : new CallInstruction.Refuse(new Refusal(
                         ErrorCode.NO_CAPACITY,
                         "the upstream did not take the request",
-                        CallPlacement.REFUSAL_RETRY_AFTER));
+                        CallPlacement.returnDelay(call, now)));
         return instruct(board, call, instruction, builder, new CallResult.NotRun(reached));
     }
 
--- a/src/main/java/org/lacewingstep/controller/CallController.java
+++ b/src/main/java/org/lacewingstep/controller/CallController.java
@@ -20,7 +20,9 @@
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.TimerKey;
 import org.lacewingstep.domain.RequestIdentifier;
+import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.UpstreamName;
+import org.lacewingstep.placement.QueueOrder;
 
 /** Manages calls from arrival to completion: admission, placement at upstreams, retries and deadlines. */
 public final class CallController implements Controller<CallSection> {
@@ -54,11 +56,12 @@
                 find(board, request)
                         .map(call -> CallCompletion.expire(board, call, now))
                         .orElseGet(() -> unchanged(board));
-            case Event.TimerFired(TimerKey.CallQueue(RequestIdentifier request)) ->
-                find(board, request)
-                        .filter(call -> call.phase() instanceof CallPhase.Queued)
-                        .map(call -> CallPlacement.place(board, call, new OutcomeBuilder(), now))
+            case Event.TimerFired(TimerKey.CallQueue(ServiceName service)) -> serveQueue(board, service, now);
+            case Event.UpstreamReleased(UpstreamName name, long tokens, var result) ->
+                UpstreamChoice.findRegistered(board, name)
+                        .map(upstream -> serveQueue(board, upstream.service(), now))
                         .orElseGet(() -> unchanged(board));
+            case Event.QueuedCallsDue(List<RequestIdentifier> requests) -> placeFirst(board, requests, now);
             default -> unchanged(board);
         };
     }
@@ -85,6 +88,38 @@
         };
     }
 
+    private static Outcome<CallSection> serveQueue(
+            final Blackboard board, final ServiceName service, final Instant now) {
+        final List<QueueOrder.QueuedCall> queued = board.serving().calls().calls().values().stream()
+                .filter(call -> call.phase() instanceof CallPhase.Queued
+                        && call.service().equals(service))
+                .map(call -> new QueueOrder.QueuedCall(
+                        call.parameters().request(),
+                        call.parameters().receivedAt(),
+                        CallPlacement.canMeetLatencyTarget(call, now)))
+                .toList();
+        if (queued.isEmpty()) {
+            return unchanged(board);
+        }
+        return new Outcome<>(
+                board.serving().calls(), List.of(), List.of(new Event.QueuedCallsDue(QueueOrder.order(queued))));
+    }
+
+    /** Places the first call; the next one follows in an event of its own, after the loads include this call. */
+    private static Outcome<CallSection> placeFirst(
+            final Blackboard board, final List<RequestIdentifier> requests, final Instant now) {
+        final Outcome<CallSection> outcome = find(board, requests.getFirst())
+                .filter(call -> call.phase() instanceof CallPhase.Queued)
+                .map(call -> CallPlacement.place(board, call, new OutcomeBuilder(), now))
+                .orElseGet(() -> unchanged(board));
+        if (requests.size() == 1) {
+            return outcome;
+        }
+        final List<Event> events = new ArrayList<>(outcome.events());
+        events.add(new Event.QueuedCallsDue(requests.subList(1, requests.size())));
+        return new Outcome<>(outcome.section(), outcome.effects(), events);
+    }
+
     private static long confirmationAge(final Blackboard board, final Instant now) {
         return board.serving()
                 .routing()
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -26,10 +26,11 @@
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
 import org.lacewingstep.error.ErrorCode;
+import org.lacewingstep.placement.ReturnDelay;
 
 /** Sends a call to an upstream, queues the call until an upstream has capacity, or refuses the call. */
 final class CallPlacement {
-    /** Interval at which a queued call checks again for an upstream with capacity. */
+    /** Interval at which queued calls search again, for capacity that other instances have released. */
     private static final Duration QUEUE_POLL_INTERVAL = Duration.ofMillis(40);
 
     /** Fraction of the latency target that a call may wait before it is sent and still be on time. */
@@ -38,9 +39,6 @@
     /** Wait for engine capacity beyond the latency target of a stream; about the duration of one response. */
     private static final Duration STREAM_EXTRA_WAIT = Duration.ofSeconds(2);
 
-    /** Retry delay sent to a refused caller. */
-    static final Duration REFUSAL_RETRY_AFTER = Duration.ofMillis(300);
-
     /** How long a processed prompt is reused; shorter than the 500 ms for which an upstream keeps the prompt. */
     private static final Duration PROMPT_REUSE_PERIOD = Duration.ofMillis(350);
 
@@ -75,10 +73,10 @@
     static Outcome<CallSection> place(
             final Blackboard board, final Call call, final OutcomeBuilder builder, final Instant now) {
         if (!CallAdmission.mayStillRun(board, call, now)) {
-            return refuse(board, call, builder, ErrorCode.NOT_READY, "the key was withdrawn or cannot be proved");
+            return refuse(board, call, builder, ErrorCode.NOT_READY, "the key was withdrawn or cannot be proved", now);
         }
         if (Duration.between(now, call.deadline()).compareTo(MIN_ATTEMPT_TIME) < 0) {
-            return refuse(board, call, builder, ErrorCode.NO_CAPACITY, "no upstream was free in time");
+            return refuse(board, call, builder, ErrorCode.NO_CAPACITY, "no upstream was free in time", now);
         }
         final FailureDomainName ownDomain = board.serving().site().bounds().failureDomain();
         return UpstreamChoice.choose(board, call, RESPONDING_ROLES, ownDomain, now)
@@ -175,6 +173,20 @@
         return waitLimit.compareTo(halfOfRemaining) < 0 ? waitLimit : halfOfRemaining;
     }
 
+    /**
+     * Computes after which time the caller of a refused call should return.
+     *
+     * @param call the refused call, not null
+     * @param now the present time, not null
+     * @return the delay, never null
+     */
+    static Duration returnDelay(final Call call, final Instant now) {
+        return ReturnDelay.of(
+                call.parameters().request(),
+                Duration.between(call.parameters().receivedAt(), now),
+                Duration.between(now, call.deadline()));
+    }
+
     /**
      * Returns whether a call that is sent now can be answered within its latency target.
      *
@@ -190,10 +202,9 @@
     private static Outcome<CallSection> queue(
             final Blackboard board, final Call call, final OutcomeBuilder builder, final Instant now) {
         if (!(call.phase() instanceof CallPhase.Queued(Instant until)) || !now.isBefore(until)) {
-            return refuse(board, call, builder, ErrorCode.NO_CAPACITY, "no upstream is free");
+            return refuse(board, call, builder, ErrorCode.NO_CAPACITY, "no upstream is free", now);
         }
-        builder.add(new Effect.StartTimer(
-                new TimerKey.CallQueue(call.parameters().request()), now.plus(QUEUE_POLL_INTERVAL)));
+        builder.add(new Effect.StartTimer(new TimerKey.CallQueue(call.service()), now.plus(QUEUE_POLL_INTERVAL)));
         return builder.outcome(CallController.with(board.serving().calls(), call));
     }
 
@@ -202,7 +213,8 @@
             final Call call,
             final OutcomeBuilder builder,
             final ErrorCode code,
-            final String message) {
+            final String message,
+            final Instant now) {
         builder.add(new Effect.Log(Decision.on(
                 "placement",
                 call.parameters().request(),
@@ -215,7 +227,7 @@
                 call.parameters().request(),
                 call.mayHaveRun()
                         ? new CallInstruction.Fail(ErrorCode.UPSTREAM_FAILED, message)
-                        : new CallInstruction.Refuse(new Refusal(code, message, REFUSAL_RETRY_AFTER))));
+                        : new CallInstruction.Refuse(new Refusal(code, message, returnDelay(call, now)))));
         return builder.outcome(CallController.without(board.serving().calls(), call));
     }
 
--- a/src/test/java/org/lacewingstep/controller/CallAdmissionTest.java
+++ b/src/test/java/org/lacewingstep/controller/CallAdmissionTest.java
@@ -60,7 +60,7 @@
         site.changeStore(new StoreChange.TableWritten(SiteFixture.table(2, 1000, Map.of()), 2));
         site.changeStore(
                 new StoreChange.UpstreamRegistered(SiteFixture.upstreams().get(0)));
-        site.step(new Event.TimerFired(new TimerKey.CallQueue(request)));
+        site.step(new Event.TimerFired(new TimerKey.CallQueue(SiteFixture.LEDGER)));
 
         assertThat(refusalCode(request)).isEqualTo(ErrorCode.NOT_READY);
     }
--- a/src/test/java/org/lacewingstep/controller/ReservationTest.java
+++ b/src/test/java/org/lacewingstep/controller/ReservationTest.java
@@ -39,7 +39,7 @@
         final UpstreamName full = lastReserve(request).upstream().name();
 
         endReservation(request, new CallResult.NotRun(true));
-        fireQueueTimer(request);
+        fireQueueTimer();
         assertThat(lastReserve(request).upstream().name()).isNotEqualTo(full);
         endReservation(request, new CallResult.Served());
 
@@ -57,7 +57,7 @@
         endReservation(request, new CallResult.NotRun(true));
         assertThat(spentUnits()).isZero();
 
-        fireQueueTimer(request);
+        fireQueueTimer();
         endReservation(request, new CallResult.Served());
 
         assertThat(spentUnits()).isEqualTo(100);
@@ -72,6 +72,8 @@
         site.step(new Event.CallAbandoned(abandoned));
         site.step(new Event.TimerFired(new TimerKey.CallDeadline(late)));
         endReservation(unanswered, new CallResult.Broken(true, false));
+        assertThat(site.instructions(unanswered)).hasSize(2).allMatch(Reserve.class::isInstance);
+        site.step(new Event.CallAbandoned(unanswered));
 
         assertThat(site.lastInstruction(late)).isInstanceOf(CallInstruction.Refuse.class);
         assertThat(site.board().serving().loads().loads().values())
@@ -108,7 +110,7 @@
                 request, lastReserve(request).upstream().name(), result));
     }
 
-    private void fireQueueTimer(final RequestIdentifier request) {
-        site.step(new Event.TimerFired(new TimerKey.CallQueue(request)));
+    private void fireQueueTimer() {
+        site.step(new Event.TimerFired(new TimerKey.CallQueue(SiteFixture.ENGINES)));
     }
 }
--- a/src/test/java/org/lacewingstep/controller/SharedLoadTest.java
+++ b/src/test/java/org/lacewingstep/controller/SharedLoadTest.java
@@ -48,7 +48,7 @@
 
         site.endAttempt(first, new CallResult.Served());
         site.advanceClock(Duration.ofMillis(40));
-        site.step(new Event.TimerFired(new TimerKey.CallQueue(third)));
+        site.step(new Event.TimerFired(new TimerKey.CallQueue(SiteFixture.ENGINES)));
 
         assertThat(site.lastInstruction(third)).isInstanceOf(Send.class);
     }
@@ -67,7 +67,7 @@
         site.advanceClock(Duration.ofMillis(200));
         receiveLoad(Map.of(FIRST, new UpstreamUse(2, 950), SECOND, new UpstreamUse(2, 1100)), Map.of());
 
-        site.step(new Event.TimerFired(new TimerKey.CallQueue(waiting)));
+        site.step(new Event.TimerFired(new TimerKey.CallQueue(SiteFixture.ENGINES)));
         assertThat(site.instructions(waiting)).isEmpty();
         assertThat(site.lastInstruction(site.call("/stream/x", 120))).isInstanceOf(Send.class);
     }
