Change the roles of engines where one role is full and the other idle

Change: the instance that ranks first samples how full both roles are and orders as many engines to change as lowers the fuller role most, by its revision of a plan in the store as the fencing number. Engines that change receive no prompts meanwhile.

--- a/src/main/java/org/lacewingstep/blackboard/Effect.java
+++ b/src/main/java/org/lacewingstep/blackboard/Effect.java
@@ -5,11 +5,15 @@
 
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.IdempotencyKey;
+import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
+import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
+import org.lacewingstep.domain.RolePlan;
 import org.lacewingstep.domain.Roster;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.Upstream;
+import org.lacewingstep.domain.UpstreamRole;
 
 /** An action that a controller requests and that an adapter performs. */
 public sealed interface Effect {
@@ -136,6 +140,25 @@
      */
     record RenewPresence(Member self, long lease, Duration lifetime) implements PlatformEffect {}
 
+    /**
+     * Writes a plan of engine roles by compare-and-swap.
+     *
+     * @param plan the plan, not null
+     * @param expectedRevision the revision of the plan that must be in the store, zero if there must be none
+     */
+    record WriteRolePlan(RolePlan plan, long expectedRevision) implements PlatformEffect {}
+
+    /**
+     * Orders an engine to change its role.
+     *
+     * @param engine the engine, not null
+     * @param role the role that the engine is to take, not null
+     * @param holder the instance that sends the order, not null
+     * @param fence the fencing number of the order; engines reject a number lower than one they have seen
+     */
+    record OrderRole(RegisteredUpstream engine, UpstreamRole role, InstanceName holder, long fence)
+            implements PlatformEffect {}
+
     /**
      * Writes a decision to the log.
      *
--- a/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
@@ -15,6 +15,7 @@
  * @param allowances the rate limits of teams and the retry budget of this instance, not null
  * @param loads the load of this and the other instances at each upstream, not null
  * @param calls the open calls that this instance serves, not null
+ * @param roles the planned roles of engines and how full the engines are, not null
  */
 public record ServingBoard(
         SiteSection site,
@@ -22,7 +23,8 @@
         RegistrySection registry,
         AllowanceSection allowances,
         UpstreamLoadSection loads,
-        CallSection calls) {
+        CallSection calls,
+        RoleSection roles) {
     /** The initial sections of a process. */
     public static final ServingBoard INITIAL = new ServingBoard(
             SiteSection.INITIAL,
@@ -30,7 +32,8 @@
             RegistrySection.INITIAL,
             AllowanceSection.INITIAL,
             UpstreamLoadSection.INITIAL,
-            CallSection.INITIAL);
+            CallSection.INITIAL,
+            RoleSection.INITIAL);
 
     /** Checks that every section is present. */
     public ServingBoard {
@@ -40,6 +43,7 @@
         Validate.notNull(allowances, "allowances");
         Validate.notNull(loads, "loads");
         Validate.notNull(calls, "calls");
+        Validate.notNull(roles, "roles");
     }
 
     /**
@@ -50,12 +54,13 @@
      */
     public ServingBoard with(final ServingSection section) {
         return switch (section) {
-            case SiteSection next -> new ServingBoard(next, routing, registry, allowances, loads, calls);
-            case RoutingSection next -> new ServingBoard(site, next, registry, allowances, loads, calls);
-            case RegistrySection next -> new ServingBoard(site, routing, next, allowances, loads, calls);
-            case AllowanceSection next -> new ServingBoard(site, routing, registry, next, loads, calls);
-            case UpstreamLoadSection next -> new ServingBoard(site, routing, registry, allowances, next, calls);
-            case CallSection next -> new ServingBoard(site, routing, registry, allowances, loads, next);
+            case SiteSection next -> new ServingBoard(next, routing, registry, allowances, loads, calls, roles);
+            case RoutingSection next -> new ServingBoard(site, next, registry, allowances, loads, calls, roles);
+            case RegistrySection next -> new ServingBoard(site, routing, next, allowances, loads, calls, roles);
+            case AllowanceSection next -> new ServingBoard(site, routing, registry, next, loads, calls, roles);
+            case UpstreamLoadSection next -> new ServingBoard(site, routing, registry, allowances, next, calls, roles);
+            case RoleSection next -> new ServingBoard(site, routing, registry, allowances, loads, calls, next);
+            case CallSection next -> new ServingBoard(site, routing, registry, allowances, loads, next, roles);
         };
     }
 
--- a/src/main/java/org/lacewingstep/blackboard/ServingSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingSection.java
@@ -2,4 +2,10 @@
 
 /** A section for calls that are served by the platform's registry. */
 public sealed interface ServingSection extends Section
-        permits AllowanceSection, CallSection, RegistrySection, RoutingSection, SiteSection, UpstreamLoadSection {}
+        permits AllowanceSection,
+                CallSection,
+                RegistrySection,
+                RoleSection,
+                RoutingSection,
+                SiteSection,
+                UpstreamLoadSection {}
--- a/src/main/java/org/lacewingstep/blackboard/StoreChange.java
+++ b/src/main/java/org/lacewingstep/blackboard/StoreChange.java
@@ -4,6 +4,7 @@
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.RegisteredUpstream;
+import org.lacewingstep.domain.RolePlan;
 import org.lacewingstep.domain.RoutingTable;
 import org.lacewingstep.domain.UpstreamName;
 
@@ -58,4 +59,12 @@
      * @param instance the name of the instance, not null
      */
     record InstanceUnregistered(InstanceName instance) implements StoreChange {}
+
+    /**
+     * An instance wrote a plan of engine roles.
+     *
+     * @param plan the plan, not null
+     * @param revision the store's revision of the plan
+     */
+    record RolePlanChanged(RolePlan plan, long revision) implements StoreChange {}
 }
--- a/src/main/java/org/lacewingstep/command/PlatformProcess.java
+++ b/src/main/java/org/lacewingstep/command/PlatformProcess.java
@@ -23,6 +23,7 @@
 import org.lacewingstep.platform.PlatformProtocol;
 import org.lacewingstep.platform.PlatformSettings;
 import org.lacewingstep.platform.PlatformStoreAdapter;
+import org.lacewingstep.platform.UpstreamOrderAdapter;
 import org.lacewingstep.traffic.CallHandler;
 import org.lacewingstep.traffic.CallMetrics;
 import org.lacewingstep.traffic.OpenCalls;
@@ -123,6 +124,7 @@
         dispatcher = new PlatformEffectDispatcher(
                 openCalls,
                 new PlatformStoreAdapter(client, settings.storeAddress(), clock::now, control::post, execController),
+                new UpstreamOrderAdapter(client, execController),
                 peers,
                 new DecisionLog(),
                 exitAllowed::countDown);
--- a/src/main/java/org/lacewingstep/control/PlatformEffectDispatcher.java
+++ b/src/main/java/org/lacewingstep/control/PlatformEffectDispatcher.java
@@ -3,6 +3,7 @@
 import org.lacewingstep.blackboard.Effect;
 import org.lacewingstep.peer.PeerNetwork;
 import org.lacewingstep.platform.PlatformStoreAdapter;
+import org.lacewingstep.platform.UpstreamOrderAdapter;
 import org.lacewingstep.traffic.OpenCalls;
 
 /**
@@ -10,12 +11,18 @@
  *
  * @param openCalls delivers instructions to traffic threads, not null
  * @param store reads and writes the platform's store, not null
+ * @param orders sends orders to upstreams, not null
  * @param peers sends messages to other instances, not null
  * @param log writes decisions to the log, not null
  * @param stopProcess stops the process, not null
  */
 public record PlatformEffectDispatcher(
-        OpenCalls openCalls, PlatformStoreAdapter store, PeerNetwork peers, DecisionLog log, Runnable stopProcess)
+        OpenCalls openCalls,
+        PlatformStoreAdapter store,
+        UpstreamOrderAdapter orders,
+        PeerNetwork peers,
+        DecisionLog log,
+        Runnable stopProcess)
         implements EffectHandler {
     @Override
     public void handle(final Effect effect) {
@@ -34,6 +41,9 @@
             case Effect.AwaitStoreChanges(long revision, var wait) -> store.pollChanges(revision, wait);
             case Effect.ConfirmTable(long revision) -> store.confirmTable(revision);
             case Effect.RenewPresence(var self, long lease, var duration) -> store.renewPresence(self, lease, duration);
+            case Effect.WriteRolePlan(var plan, long revision) -> store.writeRolePlan(plan, revision);
+            case Effect.OrderRole(var engine, var role, var holder, long fence) ->
+                orders.orderRole(engine, role, holder, fence);
             case Effect.Log(var decision) -> log.write(decision);
         }
     }
--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -30,6 +30,7 @@
             new RegistryController(),
             new UpstreamLoadController(),
             new AllowanceController(),
+            new RoleController(),
             new CallController());
 
     private BlackboardStepper() {}
--- a/src/main/java/org/lacewingstep/controller/Controller.java
+++ b/src/main/java/org/lacewingstep/controller/Controller.java
@@ -21,6 +21,7 @@
                 MembershipController,
                 RegistryController,
                 RequestController,
+                RoleController,
                 RoutingController,
                 SiteController,
                 TeamBudgetController,
--- a/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
@@ -41,8 +41,8 @@
     /** Factor of an engine's memory that predicted final sizes may add up to; few requests are at that size at once. */
     private static final double MEMORY_OVERCOMMIT = 1.2;
 
-    /** Memory factor for a call that can no longer be on time; lower, so that other calls can be on time. */
-    private static final double LATE_MEMORY_OVERCOMMIT = 1.0;
+    /** Memory factor for a call that can no longer be on time; lower, so that calls which can be find a place. */
+    private static final double LATE_MEMORY_OVERCOMMIT = 0.8;
 
     /**
      * Divisor of an engine's memory that yields the memory of a typical call. A larger call requires no more free
@@ -128,6 +128,7 @@
         final RegisteredUpstream upstream = entry.upstream();
         return !upstream.draining()
                 && RegistryController.isRetained(entry, now)
+                && !board.serving().roles().isChanging(upstream, now)
                 && !board.serving().routing().takenOut().contains(upstream.failureDomain())
                 && isInAllowedRegion(board, call, upstream)
                 && !isEngineBackedOff(board, upstream, now);
--- a/src/main/java/org/lacewingstep/domain/SitePolicy.java
+++ b/src/main/java/org/lacewingstep/domain/SitePolicy.java
@@ -21,6 +21,7 @@
  * @param rateSlack units in a window by which a team may exceed its limit in addition to the share
  * @param coldExcess factor that multiplies the rate of a cold upstream to give the highest permitted rate
  * @param coldSlack requests per second permitted to a cold upstream in addition to the factor
+ * @param orderInterval shortest time between orders of two instances to the same upstream, positive
  */
 public record SitePolicy(
         InstanceName instance,
@@ -35,7 +36,8 @@
         double rateExcess,
         double rateSlack,
         double coldExcess,
-        double coldSlack) {
+        double coldSlack,
+        Duration orderInterval) {
     /** Validates the components. */
     public SitePolicy {
         Validate.notNull(instance, "instance");
@@ -45,5 +47,6 @@
         Validate.positive(shutdownLimit, "shutdown limit");
         Validate.positive(retryWindow, "retry window");
         Validate.positive(rateWindow, "rate window");
+        Validate.positive(orderInterval, "order interval");
     }
 }
--- a/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
@@ -34,7 +34,7 @@
 public final class PlatformProtocol implements CallProtocol {
     private static final String API_KEY = "Api-Key";
     private static final String DEADLINE = "Deadline-Ms";
-    private static final String EXPECT_INSTANCE = "Expect-Instance";
+    static final String EXPECT_INSTANCE = "Expect-Instance";
     private static final String KV_HOLD = "Kv-Hold";
     private static final String KV_SOURCE = "Kv-Source";
     private static final String LAST_EVENT_ID = "Last-Event-Id";
--- a/src/main/java/org/lacewingstep/platform/PlatformSettings.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformSettings.java
@@ -84,6 +84,7 @@
         final double rateSlack = bounds.number("quotaSlack");
         final double coldExcess = bounds.number("coldOver");
         final double coldSlack = bounds.number("coldSlack");
+        final Duration orderInterval = bounds.milliseconds("leaseMs");
         faults.throwIfAny(ErrorCode.SETTINGS_INVALID);
         final SitePolicy policy = new SitePolicy(
                 new InstanceName(instance),
@@ -98,7 +99,8 @@
                 rateExcess,
                 rateSlack,
                 coldExcess,
-                coldSlack);
+                coldSlack,
+                orderInterval);
         return new PlatformSettings(
                 policy,
                 callerAddress,
--- a/src/main/java/org/lacewingstep/platform/PlatformStoreAdapter.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreAdapter.java
@@ -15,6 +15,7 @@
 import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.RolePlan;
 import org.lacewingstep.platform.PlatformStoreClient.StoreResponse;
 import ratpack.exec.ExecController;
 import ratpack.exec.Promise;
@@ -189,6 +190,37 @@
         });
     }
 
+    /**
+     * Writes the plan of engine roles, unless the store holds another revision of it.
+     *
+     * @param plan the plan, not null
+     * @param expectedRevision the revision that must be in the store, zero if there must be no plan
+     */
+    public void writeRolePlan(final RolePlan plan, final long expectedRevision) {
+        final Instant requestedAt = clock.get();
+        final ObjectNode body = MAPPER.createObjectNode();
+        body.putArray("precondition")
+                .addObject()
+                .put("key", PlatformStoreCodec.ROLE_PLAN_KEY)
+                .put("revision", expectedRevision);
+        body.putArray("writes")
+                .addObject()
+                .put("key", PlatformStoreCodec.ROLE_PLAN_KEY)
+                .put("value", PlatformStoreCodec.encodeRolePlan(plan))
+                .put("lease", 0);
+        body.putArray("remove");
+        run(
+                store.post(TRANSACTION_PATH, body)
+                        .map(response -> new Event.RolePlanWriteEnded(
+                                plan,
+                                response.status() == HTTP_OK
+                                        ? Optional.of(
+                                                response.body().path("revision").asLong())
+                                        : Optional.empty(),
+                                requestedAt)),
+                failure -> new Event.RolePlanWriteEnded(plan, Optional.empty(), requestedAt));
+    }
+
     private static ObjectNode presenceTransaction(final Member self, final long lease) {
         final ObjectNode body = MAPPER.createObjectNode();
         body.putArray("precondition");
--- a/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
@@ -4,6 +4,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Base64;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -16,6 +18,7 @@
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.PeerAddress;
 import org.lacewingstep.domain.RegisteredUpstream;
+import org.lacewingstep.domain.RolePlan;
 import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
@@ -28,6 +31,9 @@
     /** Key of the operators' routing document. */
     static final String ROUTING_KEY = "op/config";
 
+    /** Key of the plan of engine roles. */
+    static final String ROLE_PLAN_KEY = "lacewingstep/roles";
+
     /** Prefix of the keys of this system's instances. */
     static final String INSTANCE_PREFIX = "lacewingstep/instances/";
 
@@ -54,6 +60,10 @@
                         RoutingDocumentCodec.decode(decodeValue(item)),
                         item.path("revision").asLong()));
             }
+            if (key.equals(ROLE_PLAN_KEY) && !deleted) {
+                return Optional.of(new StoreChange.RolePlanChanged(
+                        decodeRolePlan(decodeValue(item)), item.path("revision").asLong()));
+            }
             return decodePrefixed(item, key, deleted);
         } catch (final IOException | IllegalArgumentException | RouterException failure) {
             LOGGER.atWarn()
@@ -110,6 +120,48 @@
                 new FailureDomainName(textField(value, "failureDomain")));
     }
 
+    /**
+     * Encodes a plan of engine roles.
+     *
+     * @param plan the plan, not null
+     * @return the base64 text of the plan, never null
+     */
+    static String encodeRolePlan(final RolePlan plan) {
+        final ObjectNode value =
+                MAPPER.createObjectNode().put("author", plan.author().value());
+        final ObjectNode changes = value.putObject("changes");
+        plan.changes().forEach((name, change) -> changes.putObject(name.value())
+                .put("stage", stageName(change.role()))
+                .put("born", change.startedAtMillis()));
+        return Base64.getEncoder().encodeToString(value.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static RolePlan decodeRolePlan(final JsonNode value) {
+        final Map<UpstreamName, RolePlan.Change> changes = new HashMap<>();
+        value.path("changes")
+                .properties()
+                .forEach(entry -> changes.put(
+                        new UpstreamName(entry.getKey()),
+                        new RolePlan.Change(
+                                upstreamRole(entry.getValue()),
+                                entry.getValue().path("born").asLong())));
+        return new RolePlan(new InstanceName(textField(value, "author")), changes);
+    }
+
+    /**
+     * Returns the platform's name of an engine role.
+     *
+     * @param role the role, not null
+     * @return the name, never null
+     */
+    static String stageName(final UpstreamRole role) {
+        return switch (role) {
+            case PREFILL -> "prefill";
+            case DECODE -> "decode";
+            case PLAIN -> throw new IllegalArgumentException("a plain upstream has no stage");
+        };
+    }
+
     private static UpstreamName upstreamName(final String key) {
         return new UpstreamName(key.substring(UPSTREAM_PREFIX.length()));
     }
--- a/src/main/java/org/lacewingstep/platform/RehearsalServer.java
+++ b/src/main/java/org/lacewingstep/platform/RehearsalServer.java
@@ -30,7 +30,7 @@
             "listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},
             "platform":{"address":"127.0.0.1:%d"},
             "bounds":{"revokeMs":5000,"graceS":8,"retryBudgetRatio":0.2,"budgetWindowS":10,"retrySlack":50,
-            "quotaWindowS":8,"quotaOver":0.1,"quotaSlack":1000,"coldOver":1.5,"coldSlack":5}}""";
+            "quotaWindowS":8,"quotaOver":0.1,"quotaSlack":1000,"coldOver":1.5,"coldSlack":5,"leaseMs":3000}}""";
 
     private static final String CALLER_REQUEST =
             "GET /a/ HTTP/1.1\r\nHost: a\r\nRequest-Id: r\r\nConnection: close\r\n\r\n";
--- a/src/test/java/org/lacewingstep/command/PlatformProcessTest.java
+++ b/src/test/java/org/lacewingstep/command/PlatformProcessTest.java
@@ -39,7 +39,7 @@
             "listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},
             "platform":{"address":"127.0.0.1:%d"},
             "bounds":{"revokeMs":5000,"graceS":8,"retryBudgetRatio":0.2,"budgetWindowS":10,"retrySlack":5200,
-            "quotaWindowS":8,"quotaOver":0.1,"quotaSlack":14000000,"coldOver":1.5,"coldSlack":500}}""";
+            "quotaWindowS":8,"quotaOver":0.1,"quotaSlack":14000000,"coldOver":1.5,"coldSlack":500,"leaseMs":3000}}""";
     private static final String TABLE =
             """
             {"version":%d,"routes":[
--- a/src/test/java/org/lacewingstep/controller/SiteFixture.java
+++ b/src/test/java/org/lacewingstep/controller/SiteFixture.java
@@ -191,7 +191,8 @@
                 0.1,
                 rateSlack,
                 1.5,
-                5);
+                5,
+                Duration.ofSeconds(3));
     }
 
     void readStore(final RoutingTable table, final List<RegisteredUpstream> upstreams) {
--- a/src/test/java/org/lacewingstep/platform/PlatformSettingsTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformSettingsTest.java
@@ -19,7 +19,7 @@
             "listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},
             "platform":{"address":"127.0.0.1:%d"},
             "bounds":{"revokeMs":5000,"graceS":8,"retryBudgetRatio":0.2,"budgetWindowS":10,"retrySlack":52,
-            "quotaWindowS":8,"quotaOver":0.1,"quotaSlack":140000,"coldOver":1.5,"coldSlack":5}}""";
+            "quotaWindowS":8,"quotaOver":0.1,"quotaSlack":140000,"coldOver":1.5,"coldSlack":5,"leaseMs":3000}}""";
 
     @Test
     void parsesTheFile() {
--- a/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Base64;
+import java.util.Map;
 import java.util.Optional;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -12,7 +13,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.domain.FailureDomainName;
+import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.KeyDigest;
+import org.lacewingstep.domain.RolePlan;
 import org.lacewingstep.domain.Route;
 import org.lacewingstep.domain.RouteKind;
 import org.lacewingstep.domain.RoutingTable;
@@ -72,6 +75,27 @@
                 .contains(new StoreChange.UpstreamUnregistered(new UpstreamName("i-1")));
     }
 
+    @Test
+    void aRolePlanIsReadAsItWasWritten() throws Exception {
+        final RolePlan plan = new RolePlan(
+                new InstanceName("front-1"),
+                Map.of(
+                        new UpstreamName("i-1"), new RolePlan.Change(UpstreamRole.DECODE, 17),
+                        new UpstreamName("i-2"), new RolePlan.Change(UpstreamRole.PREFILL, 18)));
+        final ObjectNode item = MAPPER.createObjectNode()
+                .put("key", PlatformStoreCodec.ROLE_PLAN_KEY)
+                .put("value", PlatformStoreCodec.encodeRolePlan(plan))
+                .put("revision", 9);
+
+        assertThat(PlatformStoreCodec.decode(item)).contains(new StoreChange.RolePlanChanged(plan, 9));
+    }
+
+    @Test
+    void anInvalidRolePlanIsIgnored() {
+        assertThat(PlatformStoreCodec.decode(written(PlatformStoreCodec.ROLE_PLAN_KEY, "{\"changes\":[]}")))
+                .isEmpty();
+    }
+
     @Test
     void decodesDeletions() {
         assertThat(PlatformStoreCodec.decode(deleted("servers/i-1")))
