Bound responses without end, and let a slow caller keep its stream

Cause: a body that is collected, an incomplete event and bodies of skipped responses were kept or read without a bound, and an incomplete event was searched anew with each part. A byte now and then counted as progress of a stream. And while a slow caller made the router pause an upstream, the upstream's read timeout ran on, so a sound stream was cut and sent again elsewhere. Change: the form of a response (to the router, collected, streamed) decides how many bytes are kept, of one response and of all, and what counts as progress: complete events for a stream, nothing for an answer to the router, whose timeout covers the whole answer. Skipped responses and events have bounds; the timeouts stand while the router does not read.

--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -28,6 +28,7 @@
 import org.lacewingstep.upstream.ExchangeEvent;
 import org.lacewingstep.upstream.ExchangeRequest;
 import org.lacewingstep.upstream.ResponseCollector;
+import org.lacewingstep.upstream.ResponseForm;
 import org.lacewingstep.upstream.UpstreamExchange;
 import org.lacewingstep.upstream.UpstreamPool;
 import org.slf4j.Logger;
@@ -48,6 +49,9 @@
      */
     private static final Duration PREFILL_TIMEOUT = Duration.ofMillis(800);
 
+    /** Longest event of a stream, in bytes, of which a part is kept until the rest arrives. */
+    private static final int MAX_EVENT_BYTES = 256 * 1024;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(CallSession.class);
     private static final int HTTP_OK = 200;
     private static final int SUCCESS_CLASS = 2;
@@ -162,7 +166,7 @@
     private void sendPrefill(final Send instruction, final RegisteredUpstream upstream) {
         final HttpHeaders headers = openCalls.protocol().prefillHeaders(callerRequest, instruction, openCalls.now());
         exchange = pool.send(
-                exchangeRequest(instruction, upstream.address(), headers, PREFILL_TIMEOUT),
+                exchangeRequest(instruction, upstream.address(), headers, new ResponseForm.ToRouter(), PREFILL_TIMEOUT),
                 new ResponseCollector(
                         response -> handlePrefillResponse(instruction, upstream.address(), response),
                         failed -> {
@@ -211,12 +215,21 @@
                         relay.lastIdentifier(),
                         openCalls.now());
         exchange = pool.send(
-                exchangeRequest(instruction, instruction.upstream().address(), headers, instruction.readTimeout()),
+                exchangeRequest(
+                        instruction,
+                        instruction.upstream().address(),
+                        headers,
+                        instruction.streams() ? new ResponseForm.Streamed() : new ResponseForm.Collected(),
+                        instruction.readTimeout()),
                 event -> handleExchangeEvent(instruction, event));
     }
 
     private ExchangeRequest exchangeRequest(
-            final Send instruction, final PeerAddress address, final HttpHeaders headers, final Duration readTimeout) {
+            final Send instruction,
+            final PeerAddress address,
+            final HttpHeaders headers,
+            final ResponseForm form,
+            final Duration readTimeout) {
         return new ExchangeRequest(
                 address,
                 callerRequest.method(),
@@ -224,6 +237,7 @@
                 headers,
                 callerRequest.body(),
                 response -> openCalls.protocol().belongsToRequest(callerRequest, response),
+                form,
                 STALL_TIMEOUT,
                 readTimeout,
                 instruction.connectionLimit());
@@ -232,7 +246,7 @@
     private void handleExchangeEvent(final Send instruction, final ExchangeEvent event) {
         switch (event) {
             case ExchangeEvent.Head(HttpResponse response) -> handleHead(instruction, response);
-            case ExchangeEvent.Body(ByteBuf content) -> handleBody(content);
+            case ExchangeEvent.Body(ByteBuf content) -> handleBody(instruction, content);
             case ExchangeEvent.Stalled() ->
                 openCalls.post(new Event.UpstreamStalled(instruction.upstream().name()));
             case ExchangeEvent.Complete() -> complete(instruction);
@@ -246,15 +260,22 @@
     private void handleHead(final Send instruction, final HttpResponse response) {
         responseHead = response;
         if (openCalls.protocol().classify(response) instanceof ResponseKind.Unusable(String reason)) {
-            recordFailure(instruction.upstream(), new ExchangeEvent.Failed(true, false, reason));
-            exchange.cancel();
-            postAttemptEnd(instruction, new CallResult.Broken(false, stream != null));
+            breakAttempt(instruction, reason);
         }
     }
 
-    private void handleBody(final ByteBuf content) {
+    private void breakAttempt(final Send instruction, final String reason) {
+        recordFailure(instruction.upstream(), new ExchangeEvent.Failed(true, false, reason));
+        exchange.cancel();
+        postAttemptEnd(instruction, new CallResult.Broken(false, stream != null));
+    }
+
+    private void handleBody(final Send instruction, final ByteBuf content) {
         if (isStreamed()) {
             relay.append(content).ifPresent(this::forward);
+            if (relay.partialEventBytes() > MAX_EVENT_BYTES) {
+                breakAttempt(instruction, "an event is too long");
+            }
         } else {
             append(responseBody, content);
         }
@@ -271,6 +292,7 @@
     }
 
     private void forward(final ByteBuf events) {
+        exchange.restartTimeouts();
         if (stream == null) {
             stream = new ResponseStream(autoRead -> exchange.setAutoRead(autoRead), this::abandon, channel::close);
             openCalls.metrics().recordFirstEvent(Duration.between(receivedAt, openCalls.now()));
--- a/src/main/java/org/lacewingstep/traffic/EngineReservation.java
+++ b/src/main/java/org/lacewingstep/traffic/EngineReservation.java
@@ -13,6 +13,7 @@
 import org.lacewingstep.upstream.ExchangeEvent;
 import org.lacewingstep.upstream.ExchangeRequest;
 import org.lacewingstep.upstream.ResponseCollector;
+import org.lacewingstep.upstream.ResponseForm;
 import org.lacewingstep.upstream.UpstreamExchange;
 import org.lacewingstep.upstream.UpstreamPool;
 import org.slf4j.Logger;
@@ -150,6 +151,7 @@
                 routerRequest.headers(),
                 routerRequest.body(),
                 openCalls.protocol()::belongsToRouterRequest,
+                new ResponseForm.ToRouter(),
                 RESPONSE_TIMEOUT,
                 RESPONSE_TIMEOUT,
                 instruction.connectionLimit());
--- a/src/main/java/org/lacewingstep/traffic/EventRelay.java
+++ b/src/main/java/org/lacewingstep/traffic/EventRelay.java
@@ -13,6 +13,9 @@
 final class EventRelay {
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
+    /** Bytes of the longest end of an event: the end of a line, a carriage return and a line feed. */
+    private static final int LONGEST_BLANK_LINE = 3;
+
     private static final byte[] IDENTIFIER_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private Optional<String> lastIdentifier;
@@ -34,9 +37,10 @@
      * @return the complete events, whose ownership passes to the method's caller; empty if no event is complete
      */
     Optional<ByteBuf> append(final ByteBuf content) {
-        final ByteBuf joined = pending.isReadable() ? Unpooled.wrappedBuffer(pending, content) : content;
+        final int searched = Math.max(0, pending.readableBytes() - LONGEST_BLANK_LINE);
+        final ByteBuf joined = join(content);
         pending = Unpooled.EMPTY_BUFFER;
-        final int length = completeEventsLength(joined);
+        final int length = completeEventsLength(joined, searched);
         if (length == 0) {
             pending = joined;
             return Optional.empty();
@@ -51,12 +55,38 @@
         return Optional.of(complete);
     }
 
+    /** Copies the bytes behind the buffered ones, so that a part of an event is searched and copied only once. */
+    private ByteBuf join(final ByteBuf content) {
+        if (!pending.isReadable()) {
+            return content;
+        }
+        final ByteBuf joined = pending.isWritable(content.readableBytes())
+                ? pending
+                : Unpooled.buffer(2 * (pending.readableBytes() + content.readableBytes()))
+                        .writeBytes(pending);
+        if (joined != pending) {
+            pending.release();
+        }
+        joined.writeBytes(content);
+        content.release();
+        return joined;
+    }
+
     /** Discards the buffered bytes of an incomplete event. */
     void discardPartialEvent() {
         pending.release();
         pending = Unpooled.EMPTY_BUFFER;
     }
 
+    /**
+     * Counts the buffered bytes of an incomplete event.
+     *
+     * @return the number of bytes
+     */
+    int partialEventBytes() {
+        return pending.readableBytes();
+    }
+
     /**
      * Returns whether bytes of an incomplete event are buffered.
      *
@@ -75,10 +105,10 @@
         return lastIdentifier;
     }
 
-    /** Returns the length up to the end of the last blank line, which ends the last complete event. */
-    private static int completeEventsLength(final ByteBuf buffer) {
+    /** Returns the length up to the end of the last blank line that begins after the bytes already searched. */
+    private static int completeEventsLength(final ByteBuf buffer, final int searched) {
         int end = buffer.writerIndex() - 1;
-        while (end > buffer.readerIndex()) {
+        while (end > buffer.readerIndex() + searched) {
             if (buffer.getByte(end) == LINE_FEED && isLineEnd(buffer, end - 1)) {
                 return end + 1 - buffer.readerIndex();
             }
--- a/src/main/java/org/lacewingstep/traffic/PlainHandler.java
+++ b/src/main/java/org/lacewingstep/traffic/PlainHandler.java
@@ -20,6 +20,7 @@
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.upstream.CompleteResponse;
 import org.lacewingstep.upstream.ExchangeRequest;
+import org.lacewingstep.upstream.ResponseForm;
 import org.lacewingstep.upstream.UpstreamPool;
 import org.lacewingstep.upstream.UpstreamPools;
 import org.slf4j.Logger;
@@ -139,6 +140,7 @@
                         headers,
                         activeRequest.body().getBytes(),
                         response -> true,
+                        new ResponseForm.Collected(),
                         readTimeout,
                         readTimeout,
                         Integer.MAX_VALUE));
--- a/src/main/java/org/lacewingstep/upstream/ExchangeRequest.java
+++ b/src/main/java/org/lacewingstep/upstream/ExchangeRequest.java
@@ -17,8 +17,9 @@
  * @param headers the headers except Content-Length and Transfer-Encoding, not null
  * @param body the body, empty for none, not null
  * @param responseFilter accepts the responses that belong to this request; other responses are skipped, not null
+ * @param form what the response is used for, not null
  * @param stallTimeout the time without received data after which {@link ExchangeEvent.Stalled} is reported, not null
- * @param readTimeout the time without received data after which the exchange fails, not null
+ * @param readTimeout the time without progress after which the exchange fails, not null
  * @param connectionLimit the maximum number of open connections from one event loop to the address
  */
 public record ExchangeRequest(
@@ -28,6 +29,7 @@
         HttpHeaders headers,
         byte[] body,
         Predicate<HttpResponse> responseFilter,
+        ResponseForm form,
         Duration stallTimeout,
         Duration readTimeout,
         int connectionLimit) {}
--- a/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
@@ -30,6 +30,12 @@
     /** Subtracted from the upstream's Keep-Alive timeout, so that a request arrives before the upstream closes. */
     private static final Duration IDLE_MARGIN = Duration.ofMillis(700);
 
+    /** Responses in an exchange that are skipped, because they are informational or belong to another request. */
+    private static final int MAX_SKIPPED_RESPONSES = 16;
+
+    /** Bytes of bodies of skipped responses in an exchange. */
+    private static final int MAX_SKIPPED_BYTES = 64 * 1024;
+
     private final PeerAddress address;
     private final Channel channel;
     private final UpstreamPool pool;
@@ -39,7 +45,10 @@
     private Duration idleLimit = DEFAULT_IDLE_LIMIT;
     private boolean reset;
     private boolean reusable = true;
+    private int skippedBytes;
+    private int skippedResponses;
     private boolean skippingResponse;
+    private boolean succeeded;
 
     /**
      * Creates a connection.
@@ -71,6 +80,8 @@
     void begin(final UpstreamExchange exchange) {
         currentExchange = exchange;
         headReceived = false;
+        skippedBytes = 0;
+        skippedResponses = 0;
         skippingResponse = false;
         channel.config().setAutoRead(true);
         final ExchangeRequest request = exchange.request();
@@ -162,11 +173,12 @@
         } else if (response.decoderResult().isFailure()) {
             fail(false, "the response is not valid HTTP");
         } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            skippingResponse = true;
+            skipResponse();
         } else if (!currentExchange.request().responseFilter().test(response)) {
-            skippingResponse = true;
             reusable = false;
+            skipResponse();
         } else {
+            succeeded = response.status().codeClass() == HttpStatusClass.SUCCESS;
             skippingResponse = false;
             headReceived = true;
             reusable = reusable && HttpUtil.isKeepAlive(response) && isFramed(response);
@@ -175,10 +187,26 @@
         }
     }
 
+    private void skipResponse() {
+        skippingResponse = true;
+        skippedResponses++;
+        if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+            fail(false, "the upstream sends responses that belong to no request");
+        }
+    }
+
+    private void skipContent(final HttpContent content) {
+        skippedBytes += content.content().readableBytes();
+        skippingResponse = skippingResponse && !(content instanceof LastHttpContent);
+        content.release();
+        if (skippedBytes > MAX_SKIPPED_BYTES) {
+            fail(false, "the upstream sends a body that belongs to no request");
+        }
+    }
+
     private void readContent(final HttpContent content) {
         if (currentExchange == null || skippingResponse || !headReceived) {
-            content.release();
-            skippingResponse = skippingResponse && !(content instanceof LastHttpContent);
+            skipContent(content);
             return;
         }
         if (content.decoderResult().isFailure()) {
@@ -186,6 +214,12 @@
             fail(false, "the response body is not valid HTTP");
             return;
         }
+        final boolean passedOn = succeeded && currentExchange.request().form() instanceof ResponseForm.Streamed;
+        if (!passedOn && !currentExchange.countBufferedBytes(content.content().readableBytes())) {
+            content.release();
+            fail(false, "the response is too long");
+            return;
+        }
         if (content.content().isReadable()) {
             currentExchange.report(new ExchangeEvent.Body(content.content()));
         } else {
--- a/src/main/java/org/lacewingstep/upstream/UpstreamExchange.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamExchange.java
@@ -2,12 +2,23 @@
 
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 
 /** An exchange of one request and its response with an upstream; used on one event loop only. */
 public final class UpstreamExchange {
+    /** Longest response to the router itself, in bytes; such responses are some hundred bytes long. */
+    private static final long MAX_BYTES_TO_ROUTER = 64 * 1024;
+
+    /** Longest response that is collected before it is passed on, in bytes. */
+    private static final long MAX_BYTES_OF_RESPONSE = 4 * 1024 * 1024;
+
+    /** Bytes of all responses that are being collected; a fraction of the heap of the smallest instance. */
+    private static final long MAX_BYTES_OF_ALL_RESPONSES = 16 * 1024 * 1024;
+
+    private final AtomicLong bufferedBytes;
     private final Consumer<ExchangeEvent> listener;
     private final EventLoop loop;
     private final ExchangeRequest request;
@@ -15,6 +26,8 @@
     private UpstreamConnection connection;
     private boolean ended;
     private long lastActivityNanos = System.nanoTime();
+    private long ownBufferedBytes;
+    private boolean paused;
     private boolean stallReported;
     private ScheduledFuture<?> timeoutCheck;
 
@@ -24,8 +37,14 @@
      * @param loop the event loop, not null
      * @param request the request, not null
      * @param listener receives the events of the exchange, not null
+     * @param bufferedBytes the bytes of all responses that are being collected, not null
      */
-    UpstreamExchange(final EventLoop loop, final ExchangeRequest request, final Consumer<ExchangeEvent> listener) {
+    UpstreamExchange(
+            final EventLoop loop,
+            final ExchangeRequest request,
+            final Consumer<ExchangeEvent> listener,
+            final AtomicLong bufferedBytes) {
+        this.bufferedBytes = bufferedBytes;
         this.loop = loop;
         this.request = request;
         this.listener = listener;
@@ -48,10 +67,33 @@
      */
     public void setAutoRead(final boolean reading) {
         if (!ended && connection != null) {
+            paused = !reading;
+            restartTimeouts();
             connection.setAutoRead(reading);
         }
     }
 
+    /** Restarts the timeouts, because the response has made progress. */
+    public void restartTimeouts() {
+        lastActivityNanos = System.nanoTime();
+    }
+
+    /**
+     * Counts bytes that are kept until the response is complete.
+     *
+     * @param bytes the number of bytes
+     * @return false if this response or all responses together are longer than permitted
+     */
+    boolean countBufferedBytes(final int bytes) {
+        ownBufferedBytes += bytes;
+        final long all = bufferedBytes.addAndGet(bytes);
+        return ownBufferedBytes <= maxBufferedBytes() && all <= MAX_BYTES_OF_ALL_RESPONSES;
+    }
+
+    private long maxBufferedBytes() {
+        return request.form() instanceof ResponseForm.ToRouter ? MAX_BYTES_TO_ROUTER : MAX_BYTES_OF_RESPONSE;
+    }
+
     /**
      * Returns the request.
      *
@@ -82,7 +124,7 @@
     }
 
     /**
-     * Reports an event to the listener, unless the exchange has ended, and restarts the timeouts.
+     * Reports an event to the listener, unless the exchange has ended. An event that is progress restarts the timeouts.
      *
      * @param event the event, not null
      */
@@ -90,15 +132,27 @@
         if (ended) {
             return;
         }
-        lastActivityNanos = System.nanoTime();
+        if (isProgress(event)) {
+            restartTimeouts();
+        }
         if (event instanceof ExchangeEvent.Complete || event instanceof ExchangeEvent.Failed) {
             end();
         }
         listener.accept(event);
     }
 
+    private boolean isProgress(final ExchangeEvent event) {
+        return switch (request.form()) {
+            case ResponseForm.ToRouter() -> false;
+            case ResponseForm.Collected() -> true;
+            case ResponseForm.Streamed() -> !(event instanceof ExchangeEvent.Body);
+        };
+    }
+
     private void end() {
         ended = true;
+        bufferedBytes.addAndGet(-ownBufferedBytes);
+        ownBufferedBytes = 0;
         if (timeoutCheck != null) {
             timeoutCheck.cancel(false);
         }
@@ -112,6 +166,10 @@
         if (ended) {
             return;
         }
+        if (paused) {
+            // The caller does not read, so the upstream cannot make progress.
+            restartTimeouts();
+        }
         final long elapsedNanos = System.nanoTime() - lastActivityNanos;
         final long stallTimeoutNanos = request.stallTimeout().toNanos();
         final long readTimeoutNanos = request.readTimeout().toNanos();
--- a/src/main/java/org/lacewingstep/upstream/UpstreamPools.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamPools.java
@@ -2,12 +2,14 @@
 
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 
 /** Holds one pool of upstream connections for each event loop. */
 public final class UpstreamPools {
+    private final AtomicLong bufferedBytes = new AtomicLong();
     private final Class<? extends SocketChannel> channelType;
     private final ConcurrentMap<EventLoop, UpstreamPool> pools = new ConcurrentHashMap<>();
 
@@ -27,6 +29,6 @@
      * @return the pool, never null
      */
     public UpstreamPool poolFor(final EventLoop loop) {
-        return pools.computeIfAbsent(loop, key -> new UpstreamPool(key, channelType));
+        return pools.computeIfAbsent(loop, key -> new UpstreamPool(key, channelType, bufferedBytes));
     }
 }
--- a/src/test/java/org/lacewingstep/command/ScriptedUpstream.java
+++ b/src/test/java/org/lacewingstep/command/ScriptedUpstream.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.lacewingstep.standin.SocketRequest;
 import org.lacewingstep.standin.SocketServer;
@@ -18,6 +20,17 @@
     static final String EVENT_1 = "id: 1\ndata: a\n\n";
     static final String EVENT_2 = "id: 2\ndata: b\n\n";
 
+    /** Bytes of a large but permitted body. */
+    static final int LARGE = 1_000_000;
+
+    /** Events of a stream that is larger than the buffers between its ends. */
+    static final int EVENTS = 400;
+
+    private static final long BYTE_INTERVAL_MILLISECONDS = 100;
+    private static final int EVENT_BYTES = 64 * 1024;
+
+    private final AtomicLong endlessBytes = new AtomicLong();
+    private final AtomicInteger endlessResponses = new AtomicInteger();
     private final List<SocketRequest> requests = new CopyOnWriteArrayList<>();
     private final SocketServer server;
 
@@ -39,7 +52,18 @@
         WITHOUT_SEAL,
         EVENTS,
         EVENTS_CUT_UNLESS_RESUMED,
-        NO_RESPONSE
+        NO_RESPONSE,
+        ENDLESS_STATUS_LINE,
+        ENDLESS_HEADERS,
+        ENDLESS_INFORMATIONAL_RESPONSES,
+        ENDLESS_FOREIGN_RESPONSE,
+        ENDLESS_BODY,
+        ENDLESS_CHUNK_EXTENSION,
+        ENDLESS_TRAILER,
+        ENDLESS_EVENT,
+        EVENT_BYTE_BY_BYTE,
+        LARGE_BODY,
+        MANY_EVENTS
     }
 
     @Override
@@ -55,8 +79,17 @@
         return requests;
     }
 
+    long endlessBytes() {
+        return endlessBytes.get();
+    }
+
+    int endlessResponses() {
+        return endlessResponses.get();
+    }
+
     void setScript(final Script newScript) {
         script = newScript;
+        endlessBytes.set(0);
         requests.clear();
     }
 
@@ -101,11 +134,66 @@
                 }
             }
             case NO_RESPONSE -> socket.getInputStream().read();
-            default -> throw new IllegalStateException("unknown script: " + script);
+            case LARGE_BODY -> write(output, sealed + "Content-Length: " + LARGE + "\r\n\r\n" + "x".repeat(LARGE));
+            case MANY_EVENTS -> {
+                write(output, sealed + "Transfer-Encoding: chunked\r\n\r\n");
+                for (int i = 1; i <= EVENTS; i++) {
+                    write(output, chunk("id: " + i + "\ndata: " + "x".repeat(EVENT_BYTES) + "\n\n"));
+                }
+                write(output, "0\r\n\r\n");
+            }
+            default -> {
+                endlessResponses.incrementAndGet();
+                try {
+                    writeWithoutEnd(output, sealed);
+                } finally {
+                    endlessResponses.decrementAndGet();
+                }
+            }
         }
         return script == Script.COMPLETE || script == Script.NOT_RUN || script == Script.EXTRA_RESPONSE_BEFORE;
     }
 
+    /** Writes until the router closes the connection. */
+    private void writeWithoutEnd(final OutputStream output, final String sealed) throws IOException {
+        final String chunked = sealed + "Transfer-Encoding: chunked\r\n\r\n";
+        switch (script) {
+            case ENDLESS_STATUS_LINE -> repeat(output, "HTTP/1.1 200 ", "O".repeat(1000));
+            case ENDLESS_HEADERS -> repeat(output, sealed, "Name: value\r\n");
+            case ENDLESS_INFORMATIONAL_RESPONSES -> repeat(output, "", "HTTP/1.1 102 Processing\r\n\r\n");
+            case ENDLESS_FOREIGN_RESPONSE ->
+                repeat(output, "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", "x".repeat(1000));
+            case ENDLESS_BODY -> repeat(output, sealed + "\r\n", "x".repeat(1000));
+            case ENDLESS_CHUNK_EXTENSION -> repeat(output, chunked + "4;", "extension".repeat(100));
+            case ENDLESS_TRAILER -> repeat(output, chunked + "4\r\ndone\r\n0\r\n", "Name: value\r\n");
+            case ENDLESS_EVENT -> repeat(output, chunked, chunk("data: " + "x".repeat(1000)));
+            case EVENT_BYTE_BY_BYTE -> {
+                write(output, chunked + chunk(EVENT_1));
+                while (true) {
+                    write(output, chunk("x"));
+                    pause();
+                }
+            }
+            default -> throw new IllegalStateException("unknown script: " + script);
+        }
+    }
+
+    private void repeat(final OutputStream output, final String head, final String part) throws IOException {
+        write(output, head);
+        while (true) {
+            write(output, part);
+            endlessBytes.addAndGet(part.length());
+        }
+    }
+
+    private static void pause() throws IOException {
+        try {
+            Thread.sleep(BYTE_INTERVAL_MILLISECONDS);
+        } catch (final InterruptedException interruption) {
+            throw new IOException(interruption);
+        }
+    }
+
     private static void writeEvents(final OutputStream output, final String sealed, final SocketRequest request)
             throws IOException {
         final boolean resumed = request.headers().containsKey("last-event-id");
