Change the role of an engine only where the role that loses it keeps room

Change: the number is converted by the formula of the queue; a change leaves the role that loses engines with an occupancy of at most 0.55; cold engines keep their role.

--- a/src/main/java/org/lacewingstep/controller/RoleController.java
+++ b/src/main/java/org/lacewingstep/controller/RoleController.java
@@ -165,7 +165,8 @@
             final List<RegisteredUpstream> prefill = engines(board, service, UpstreamRole.PREFILL, now);
             final List<RegisteredUpstream> decode = engines(board, service, UpstreamRole.DECODE, now);
             final int change = RoleBalance.engineChange(
-                    new RoleLoad(prefill.size(), occupancy.prefill()), new RoleLoad(decode.size(), occupancy.decode()));
+                    new RoleLoad(prefill.size(), RoleBalance.busyFraction(occupancy.prefill())),
+                    new RoleLoad(decode.size(), occupancy.decode()));
             final List<RegisteredUpstream> candidates = change > 0 ? prefill : decode;
             final UpstreamRole role = change > 0 ? UpstreamRole.DECODE : UpstreamRole.PREFILL;
             leastUsed(board, candidates, now)
@@ -196,6 +197,7 @@
                 .filter(upstream -> upstream.service().equals(service)
                         && upstream.role() == role
                         && !upstream.draining()
+                        && upstream.coldFor().isZero()
                         && !board.serving().routing().takenOut().contains(upstream.failureDomain())
                         && !board.serving().roles().isChanging(upstream, now))
                 .toList();
--- a/src/main/java/org/lacewingstep/placement/RoleBalance.java
+++ b/src/main/java/org/lacewingstep/placement/RoleBalance.java
@@ -20,6 +20,12 @@
      */
     private static final double PREFILL_WEIGHT = 0.8;
 
+    /**
+     * Highest occupancy that a change may leave to the role that loses engines; a burst of twice the load then still
+     * finds a place, and the change itself takes some seconds in which neither role has the engine.
+     */
+    private static final double MAX_REMAINING_OCCUPANCY = 0.55;
+
     /** Engines that each role keeps, so that the loss of one engine leaves another. */
     private static final int MIN_ENGINES = 2;
 
@@ -29,7 +35,7 @@
      * The engines of one role.
      *
      * @param engines the number of engines
-     * @param occupancy the mean fraction of an engine that is in use, from 0; above 1 if requests wait
+     * @param occupancy the mean fraction of an engine that is in use, from 0; above 1 if the memory is overcommitted
      */
     public record RoleLoad(int engines, double occupancy) {
         private double occupancyWith(final int otherEngines) {
@@ -37,6 +43,17 @@
         }
     }
 
+    /**
+     * Computes the fraction of the time in which an engine is busy from the mean number of prompts at the engine. An
+     * engine processes one prompt after the other, so the number grows without bound as the engine becomes busy.
+     *
+     * @param prompts the mean number of prompts that are processed or wait, from 0
+     * @return the fraction, from 0 to 1, by the formula for random arrivals and equal processing times
+     */
+    public static double busyFraction(final double prompts) {
+        return prompts + 1 - Math.sqrt(prompts * prompts + 1);
+    }
+
     /**
      * Computes how many engines should change from prefill to decode.
      *
@@ -53,7 +70,7 @@
         double least = present * (1 - MIN_IMPROVEMENT);
         for (int change = -maxChange(decode); change <= maxChange(prefill); change++) {
             final double occupancy = fuller(prefill, decode, change);
-            if (occupancy < least) {
+            if (occupancy < least && remainingOccupancy(prefill, decode, change) <= MAX_REMAINING_OCCUPANCY) {
                 best = change;
                 least = occupancy;
             }
@@ -67,6 +84,12 @@
                 decode.occupancyWith(decode.engines() + change));
     }
 
+    private static double remainingOccupancy(final RoleLoad prefill, final RoleLoad decode, final int change) {
+        return change > 0
+                ? prefill.occupancyWith(prefill.engines() - change)
+                : decode.occupancyWith(decode.engines() + change);
+    }
+
     private static int maxChange(final RoleLoad role) {
         final int fraction = Math.max(1, (int) (role.engines() * MAX_CHANGING_FRACTION));
         return Math.max(0, Math.min(fraction, role.engines() - MIN_ENGINES));
--- a/src/test/java/org/lacewingstep/placement/RoleBalanceTest.java
+++ b/src/test/java/org/lacewingstep/placement/RoleBalanceTest.java
@@ -4,6 +4,7 @@
 import org.lacewingstep.placement.RoleBalance.RoleLoad;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 /** Tests that engines change their role where one role is full and the other idle, and otherwise keep it. */
 class RoleBalanceTest {
@@ -43,6 +44,28 @@
                 .isZero();
     }
 
+    @Test
+    void busyFractionIsThatOfAQueueWithThisMeanLength() {
+        for (final double busy : new double[] {0, 0.3, 0.5, 0.8, 0.95}) {
+            final double prompts = busy + busy * busy / (2 * (1 - busy));
+            assertThat(RoleBalance.busyFraction(prompts)).isCloseTo(busy, within(0.001));
+        }
+    }
+
+    @Test
+    void promptsThatWaitInABurstTakeNoEngineFromFullMemory() {
+        assertThat(RoleBalance.engineChange(new RoleLoad(2, RoleBalance.busyFraction(1.65)), new RoleLoad(6, 0.98)))
+                .isZero();
+    }
+
+    @Test
+    void engineIsNotTakenFromARoleThatABurstWouldFill() {
+        assertThat(RoleBalance.engineChange(new RoleLoad(3, RoleBalance.busyFraction(1.37)), new RoleLoad(5, 1)))
+                .isZero();
+        assertThat(RoleBalance.engineChange(new RoleLoad(3, 0.9), new RoleLoad(5, 0.5)))
+                .isZero();
+    }
+
     @Test
     void eachRoleKeepsTwoEngines() {
         assertThat(RoleBalance.engineChange(new RoleLoad(2, 0), new RoleLoad(6, 1)))
