Skip a successful response that names no request

Cause: a success without an identifier was taken for the response to the request in hand. As a call's response it failed the call though its own response followed, and as a prefill response it could have handed over another request's memory; it may be the late copy of an earlier response on a kept connection. Change: a success belongs to a request only if it names it; refusals need no name, as upstreams send them without one. Failed first: PlatformProcessTest, extra response without identifier before the own one.

--- a/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
@@ -163,8 +163,11 @@
     @Override
     public boolean belongsToRequest(final CallerRequest callerRequest, final HttpResponse response) {
         final String responseIdentifier = response.headers().get(REQUEST_ID);
-        return responseIdentifier == null
-                || responseIdentifier.equals(callerRequest.headers().get(REQUEST_ID));
+        if (responseIdentifier == null) {
+            // A success always names its request; one that does not may be the late copy of another response.
+            return response.status().codeClass() != HttpStatusClass.SUCCESS;
+        }
+        return responseIdentifier.equals(callerRequest.headers().get(REQUEST_ID));
     }
 
     @Override
--- a/src/test/java/org/lacewingstep/command/PlatformProcessTest.java
+++ b/src/test/java/org/lacewingstep/command/PlatformProcessTest.java
@@ -136,7 +136,7 @@
     }
 
     @ParameterizedTest
-    @EnumSource(names = {"EXTRA_RESPONSE_BEFORE", "WITHOUT_LENGTH"})
+    @EnumSource(names = {"EXTRA_RESPONSE_BEFORE", "EXTRA_RESPONSE_WITHOUT_IDENTIFIER_BEFORE", "WITHOUT_LENGTH"})
     void responseIsCompleteByItsOwnFraming(final Script script) throws Exception {
         first.setScript(script);
 
--- a/src/test/java/org/lacewingstep/command/ScriptedUpstream.java
+++ b/src/test/java/org/lacewingstep/command/ScriptedUpstream.java
@@ -45,6 +45,7 @@
         COMPLETE,
         NOT_RUN,
         EXTRA_RESPONSE_BEFORE,
+        EXTRA_RESPONSE_WITHOUT_IDENTIFIER_BEFORE,
         WITHOUT_LENGTH,
         WITHOUT_LENGTH_AND_RESET,
         CUT_IN_HEADERS,
@@ -116,6 +117,10 @@
                 write(output, "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nResponse-Seal: s\r\nContent-Length: 3\r\n\r\nold");
                 write(output, sealed + "Content-Length: 4\r\n\r\ndone");
             }
+            case EXTRA_RESPONSE_WITHOUT_IDENTIFIER_BEFORE -> {
+                write(output, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+                write(output, sealed + "Content-Length: 4\r\n\r\ndone");
+            }
             case WITHOUT_LENGTH -> write(output, sealed + "\r\ndone");
             case WITHOUT_LENGTH_AND_RESET -> {
                 write(output, sealed + "\r\ndo");
--- a/src/test/java/org/lacewingstep/platform/PlatformProtocolTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformProtocolTest.java
@@ -167,6 +167,9 @@
                 .isTrue();
         assertThat(protocol.belongsToRequest(callerRequest, response(200, "Request-Id", "r0")))
                 .isFalse();
+        assertThat(protocol.belongsToRequest(callerRequest, response(200))).isFalse();
+        assertThat(protocol.belongsToRequest(callerRequest, response(503, "Not-Executed", "1")))
+                .isTrue();
     }
 
     @Test
