--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -285,18 +285,12 @@
     record TableConfirmationFailed(String reason) implements Event {}
 
     /**
-     * The store granted or renewed the lease under which this instance is registered.
+     * The store answered the renewal of the lease under which this instance is registered, or did not answer.
      *
-     * @param lease the identifier of the lease
+     * @param renewed whether the lease was granted or renewed
+     * @param lease the identifier of the lease, zero if it has expired
      */
-    record PresenceRenewed(long lease) implements Event {}
-
-    /**
-     * The lease under which this instance is registered was not renewed.
-     *
-     * @param lapsed whether the store reported that the lease has expired
-     */
-    record PresenceRenewalFailed(boolean lapsed) implements Event {}
+    record PresenceRenewalEnded(boolean renewed, long lease) implements Event {}
 
     /**
      * The store responded to the write of a plan of engine roles, or the response was lost.
@@ -314,6 +308,14 @@
      */
     record CallArrived(CallParameters parameters) implements Event {}
 
+    /**
+     * An instance reported its load, to this instance or through relays.
+     *
+     * @param origin the process that reported, not null
+     * @param load the report, not null
+     */
+    record PeerLoadReported(Incarnation origin, PeerMessage.SiteLoad load) implements Event {}
+
     /**
      * Queued calls search for an upstream with capacity, one after the other.
      *
--- a/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
+++ b/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
@@ -9,6 +9,7 @@
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.CellName;
 import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.Reservation;
 import org.lacewingstep.domain.Roster;
 import org.lacewingstep.domain.TeamName;
@@ -178,6 +179,43 @@
      */
     record ConfigurationCopy(Configuration configuration) implements PeerMessage {}
 
+    /**
+     * Asks a relay for a confirmation of the routing table and for the changes of the platform's store.
+     *
+     * @param number the number of the query at the sender, increasing
+     * @param revision the store's revision up to which the sender knows all changes
+     */
+    record StoreQuery(long number, long revision) implements PeerMessage {}
+
+    /**
+     * Answers a query with what the store has confirmed after the query arrived.
+     *
+     * @param number the number of the query at the receiver
+     * @param tableRevision the store's revision of the newest routing table
+     * @param revision the store's revision up to which the changes are complete
+     * @param complete whether the changes contain all changes after the revision in the query
+     * @param changes the changes other than routing tables, in order, not null
+     */
+    record StoreUpdate(long number, long tableRevision, long revision, boolean complete, List<StoreChange> changes)
+            implements PeerMessage {
+        /** Copies the list. */
+        public StoreUpdate {
+            changes = List.copyOf(changes);
+        }
+    }
+
+    /**
+     * Passes on load reports of several instances.
+     *
+     * @param reports the last report of each process that has reported since the sender's last digest, not null
+     */
+    record LoadDigest(Map<Incarnation, SiteLoad> reports) implements PeerMessage {
+        /** Copies the map. */
+        public LoadDigest {
+            reports = Map.copyOf(reports);
+        }
+    }
+
     /**
      * Reports the sender's use of each upstream and what teams have spent at the sender.
      *
--- a/src/main/java/org/lacewingstep/blackboard/RoutingSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/RoutingSection.java
@@ -15,13 +15,19 @@
  * @param revision the store's revision of the table, zero for none
  * @param confirmedAt when the check that last confirmed the table as the newest was sent, empty if no confirmation is
  *     valid
+ * @param checksFrom checks that were sent earlier confirm nothing, because this process was suspended since, not null
  * @param takenOut failure domains that get no new requests, not null
  */
 public record RoutingSection(
-        RoutingTable table, long revision, Optional<Instant> confirmedAt, Set<FailureDomainName> takenOut)
+        RoutingTable table,
+        long revision,
+        Optional<Instant> confirmedAt,
+        Instant checksFrom,
+        Set<FailureDomainName> takenOut)
         implements ServingSection {
     /** The initial section of a process. */
-    public static final RoutingSection INITIAL = new RoutingSection(RoutingTable.EMPTY, 0, Optional.empty(), Set.of());
+    public static final RoutingSection INITIAL =
+            new RoutingSection(RoutingTable.EMPTY, 0, Optional.empty(), Instant.EPOCH, Set.of());
 
     /** Copies the set. */
     public RoutingSection {
--- a/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
@@ -16,6 +16,7 @@
  * @param loads the load of this and the other instances at each upstream, not null
  * @param calls the open calls that this instance serves, not null
  * @param roles the planned roles of engines and how full the engines are, not null
+ * @param relay what this instance passes on between the store and other instances, not null
  */
 public record ServingBoard(
         SiteSection site,
@@ -24,7 +25,8 @@
         AllowanceSection allowances,
         UpstreamLoadSection loads,
         CallSection calls,
-        RoleSection roles) {
+        RoleSection roles,
+        RelaySection relay) {
     /** The initial sections of a process. */
     public static final ServingBoard INITIAL = new ServingBoard(
             SiteSection.INITIAL,
@@ -33,7 +35,8 @@
             AllowanceSection.INITIAL,
             UpstreamLoadSection.INITIAL,
             CallSection.INITIAL,
-            RoleSection.INITIAL);
+            RoleSection.INITIAL,
+            RelaySection.INITIAL);
 
     /** Checks that every section is present. */
     public ServingBoard {
@@ -44,6 +47,7 @@
         Validate.notNull(loads, "loads");
         Validate.notNull(calls, "calls");
         Validate.notNull(roles, "roles");
+        Validate.notNull(relay, "relay");
     }
 
     /**
@@ -54,13 +58,15 @@
      */
     public ServingBoard with(final ServingSection section) {
         return switch (section) {
-            case SiteSection next -> new ServingBoard(next, routing, registry, allowances, loads, calls, roles);
-            case RoutingSection next -> new ServingBoard(site, next, registry, allowances, loads, calls, roles);
-            case RegistrySection next -> new ServingBoard(site, routing, next, allowances, loads, calls, roles);
-            case AllowanceSection next -> new ServingBoard(site, routing, registry, next, loads, calls, roles);
-            case UpstreamLoadSection next -> new ServingBoard(site, routing, registry, allowances, next, calls, roles);
-            case RoleSection next -> new ServingBoard(site, routing, registry, allowances, loads, calls, next);
-            case CallSection next -> new ServingBoard(site, routing, registry, allowances, loads, next, roles);
+            case SiteSection next -> new ServingBoard(next, routing, registry, allowances, loads, calls, roles, relay);
+            case RoutingSection next -> new ServingBoard(site, next, registry, allowances, loads, calls, roles, relay);
+            case RegistrySection next -> new ServingBoard(site, routing, next, allowances, loads, calls, roles, relay);
+            case AllowanceSection next -> new ServingBoard(site, routing, registry, next, loads, calls, roles, relay);
+            case UpstreamLoadSection next ->
+                new ServingBoard(site, routing, registry, allowances, next, calls, roles, relay);
+            case RelaySection next -> new ServingBoard(site, routing, registry, allowances, loads, calls, roles, next);
+            case RoleSection next -> new ServingBoard(site, routing, registry, allowances, loads, calls, next, relay);
+            case CallSection next -> new ServingBoard(site, routing, registry, allowances, loads, next, roles, relay);
         };
     }
 
--- a/src/main/java/org/lacewingstep/blackboard/ServingSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingSection.java
@@ -5,6 +5,7 @@
         permits AllowanceSection,
                 CallSection,
                 RegistrySection,
+                RelaySection,
                 RoleSection,
                 RoutingSection,
                 SiteSection,
--- a/src/main/java/org/lacewingstep/blackboard/SiteSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/SiteSection.java
@@ -24,11 +24,16 @@
     /** Minimum time for which changes are collected before a report to the other instances. */
     private static final Duration MIN_BROADCAST_DELAY = Duration.ofMillis(50);
 
-    /** Minimum time between two reports to another instance while nothing changes. */
-    private static final Duration MIN_BROADCAST_INTERVAL = Duration.ofSeconds(1);
+    /**
+     * Interval of reports while nothing changes. A missing report shows that an instance is cut off.
+     */
+    public static final Duration BROADCAST_INTERVAL = Duration.ofSeconds(1);
+
+    /** Time for which changes are collected before a report on a site with relays, and its longest interval. */
+    private static final Duration RELAYED_BROADCAST_DELAY = Duration.ofMillis(500);
 
-    /** Maximum messages per second among all instances; with 87 instances 40 for each, below a hundredth of a core. */
-    private static final int MAX_MESSAGES_PER_SECOND = 3500;
+    /** Most instances that each read the store and report to each other; larger sites have relays. */
+    private static final int MAX_INSTANCES_WITHOUT_RELAYS = 16;
 
     /** The initial section of a process. */
     public static final SiteSection INITIAL = new SiteSection(Optional.empty(), false, HashTreePMap.empty(), 0);
@@ -53,36 +58,32 @@
     }
 
     /**
-     * Computes the delay between a change and the report of the change to the other instances.
+     * Returns whether some instances read the store and pass reports on for the others.
      *
-     * @return the delay, which grows with the number of instances, never null
+     * @return true if the site is large
      */
-    public Duration broadcastDelay() {
-        final long messages = (long) instances() * (instances() - 1);
-        return longer(MIN_BROADCAST_DELAY, Duration.ofSeconds(messages).dividedBy(MAX_MESSAGES_PER_SECOND));
+    public boolean isRelayed() {
+        return instances() > MAX_INSTANCES_WITHOUT_RELAYS;
     }
 
     /**
-     * Computes the interval of reports to the other instances while nothing changes. A missing report shows that an
-     * instance is cut off.
+     * Computes the delay between a change and the report of the change to the other instances.
      *
-     * @return the interval, never null
+     * @return the delay, never null
      */
-    public Duration broadcastInterval() {
-        return longer(MIN_BROADCAST_INTERVAL, broadcastDelay());
+    public Duration broadcastDelay() {
+        return isRelayed() ? RELAYED_BROADCAST_DELAY : MIN_BROADCAST_DELAY;
     }
 
     /**
      * Computes the time without a report after which an instance counts as cut off.
      *
-     * @return two and a half report intervals, never null
+     * @return two and a half report intervals, and half an interval more for the way over relays, never null
      */
     public Duration peerTimeout() {
-        return broadcastInterval().multipliedBy(5).dividedBy(2);
-    }
-
-    private static Duration longer(final Duration first, final Duration second) {
-        return first.compareTo(second) > 0 ? first : second;
+        return isRelayed()
+                ? BROADCAST_INTERVAL.multipliedBy(3)
+                : BROADCAST_INTERVAL.multipliedBy(5).dividedBy(2);
     }
 
     /**
--- a/src/main/java/org/lacewingstep/blackboard/TimerKey.java
+++ b/src/main/java/org/lacewingstep/blackboard/TimerKey.java
@@ -65,6 +65,9 @@
     /** Reports this instance's use of the upstreams to the other instances. */
     record LoadBroadcast() implements TimerKey {}
 
+    /** Passes load reports on and sends the next query to the relay. */
+    record RelayTick() implements TimerKey {}
+
     /** Samples how full the engines of each role are. */
     record RoleSample() implements TimerKey {}
 
--- a/src/main/java/org/lacewingstep/controller/AllowanceController.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceController.java
@@ -42,7 +42,7 @@
                     case Event.RetrySend() ->
                         section.withRetryBudget(
                                 AllowanceShare.retryBudget(board, now).spend());
-                    case Event.PeerMessageReceived(Incarnation sender, PeerMessage.SiteLoad load) ->
+                    case Event.PeerLoadReported(Incarnation sender, PeerMessage.SiteLoad load) ->
                         withPeerSpending(board, sender, load.spent(), now);
                     case Event.StoreRead read -> withBucketsForTable(board, now);
                     case Event.StoreChanged changed -> withBucketsForTable(board, now);
--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -28,6 +28,7 @@
             new SiteController(),
             new RoutingController(),
             new RegistryController(),
+            new RelayController(),
             new UpstreamLoadController(),
             new AllowanceController(),
             new RoleController(),
--- a/src/main/java/org/lacewingstep/controller/Controller.java
+++ b/src/main/java/org/lacewingstep/controller/Controller.java
@@ -21,6 +21,7 @@
                 MembershipController,
                 RegistryController,
                 RequestController,
+                RelayController,
                 RoleController,
                 RoutingController,
                 SiteController,
--- a/src/main/java/org/lacewingstep/controller/RegistryController.java
+++ b/src/main/java/org/lacewingstep/controller/RegistryController.java
@@ -31,6 +31,9 @@
     /** Watch requests per second of all instances together; limited because each request has a cost. */
     private static final int SITE_WATCHES_PER_SECOND = 45;
 
+    /** Interval of watches on a site with relays; changes reach the other instances within two more seconds. */
+    private static final Duration RELAYED_WATCH_INTERVAL = Duration.ofMillis(500);
+
     /** Delay before a failed watch is resumed. */
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(400);
 
@@ -49,7 +52,7 @@
             case Event.StoreChanged(var changes, long revision) -> applyChanges(board, changes, revision, now);
             case Event.StoreWatchFailed(boolean historyLost, String reason) ->
                 handleFailedWatch(registry, historyLost, reason, now);
-            case Event.TimerFired(TimerKey.StoreWatch()) -> resumeWatch(registry);
+            case Event.TimerFired(TimerKey.StoreWatch()) -> resumeWatch(board, now);
             default -> Outcome.of(registry);
         };
     }
@@ -80,11 +83,16 @@
         final RegistrySection registry = board.serving().registry();
         final OutcomeBuilder builder = new OutcomeBuilder();
         final PMap<UpstreamName, Entry> next = apply(registry.upstreams(), changes, now, builder);
-        builder.add(new Effect.StartTimer(
-                new TimerKey.StoreWatch(), now.plus(board.serving().site().intervalFor(SITE_WATCHES_PER_SECOND))));
+        builder.add(new Effect.StartTimer(new TimerKey.StoreWatch(), now.plus(watchInterval(board))));
         return builder.outcome(new RegistrySection(withoutExpired(next, now), Optional.of(revision)));
     }
 
+    private static Duration watchInterval(final Blackboard board) {
+        return board.serving().site().isRelayed()
+                ? RELAYED_WATCH_INTERVAL
+                : board.serving().site().intervalFor(SITE_WATCHES_PER_SECOND);
+    }
+
     private static Outcome<RegistrySection> handleFailedWatch(
             final RegistrySection registry, final boolean historyLost, final String reason, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
@@ -101,8 +109,13 @@
         return builder.outcome(registry);
     }
 
-    private static Outcome<RegistrySection> resumeWatch(final RegistrySection registry) {
+    private static Outcome<RegistrySection> resumeWatch(final Blackboard board, final Instant now) {
+        final RegistrySection registry = board.serving().registry();
         final OutcomeBuilder builder = new OutcomeBuilder();
+        if (registry.revision().isPresent() && !RelayPolicy.readsStore(board, now)) {
+            builder.add(new Effect.StartTimer(new TimerKey.StoreWatch(), now.plus(watchInterval(board))));
+            return builder.outcome(registry);
+        }
         builder.add(registry.revision()
                 .<Effect>map(revision -> new Effect.AwaitStoreChanges(revision, WATCH_TIMEOUT))
                 .orElseGet(Effect.ReadStore::new));
--- a/src/main/java/org/lacewingstep/controller/RoutingController.java
+++ b/src/main/java/org/lacewingstep/controller/RoutingController.java
@@ -60,13 +60,17 @@
 
     private static Outcome<RoutingSection> requestConfirmation(final Blackboard board, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
-        builder.add(new Effect.ConfirmTable(board.serving().routing().revision()));
+        if (RelayPolicy.readsStore(board, now)) {
+            builder.add(new Effect.ConfirmTable(board.serving().routing().revision()));
+        }
         builder.add(nextConfirmationTimer(board, now));
         return builder.outcome(board.serving().routing());
     }
 
     private static Effect nextConfirmationTimer(final Blackboard board, final Instant now) {
-        final Duration interval = board.serving().site().intervalFor(SITE_CONFIRMATIONS_PER_SECOND);
+        final Duration interval = board.serving().site().isRelayed()
+                ? MIN_CONFIRMATION_INTERVAL
+                : board.serving().site().intervalFor(SITE_CONFIRMATIONS_PER_SECOND);
         return new Effect.StartTimer(
                 new TimerKey.TableConfirmation(),
                 now.plus(interval.compareTo(MIN_CONFIRMATION_INTERVAL) > 0 ? interval : MIN_CONFIRMATION_INTERVAL));
@@ -105,8 +109,8 @@
     private static Outcome<RoutingSection> applySnapshot(
             final RoutingSection routing, final List<StoreChange> content, final Instant requestedAt) {
         final OutcomeBuilder builder = new OutcomeBuilder();
-        final RoutingSection cleared =
-                new RoutingSection(routing.table(), routing.revision(), routing.confirmedAt(), Set.of());
+        final RoutingSection cleared = new RoutingSection(
+                routing.table(), routing.revision(), routing.confirmedAt(), routing.checksFrom(), Set.of());
         final RoutingSection applied = apply(cleared, content, builder);
         final boolean newest = content.stream()
                 .anyMatch(change -> change instanceof StoreChange.TableWritten(var table, long revision)
@@ -127,7 +131,7 @@
         builder.add(new Effect.ConfirmTable(routing.revision()));
         builder.add(nextConfirmationTimer(board, now));
         return builder.outcome(
-                new RoutingSection(routing.table(), routing.revision(), Optional.empty(), routing.takenOut()));
+                new RoutingSection(routing.table(), routing.revision(), Optional.empty(), now, routing.takenOut()));
     }
 
     private static RoutingSection apply(
@@ -159,7 +163,7 @@
                 Input.of("previous_version", routing.table().version()),
                 Input.of("teams", table.teams().size()),
                 Input.of("keys", table.keys().size()))));
-        return new RoutingSection(table, revision, routing.confirmedAt(), routing.takenOut());
+        return new RoutingSection(table, revision, routing.confirmedAt(), routing.checksFrom(), routing.takenOut());
     }
 
     private static RoutingSection withDomain(
@@ -172,13 +176,18 @@
             builder.add(new Effect.Log(Decision.of(
                     "failure_domain", out ? "taken out" : "taken back in", Input.of("failure_domain", domain))));
         }
-        return new RoutingSection(routing.table(), routing.revision(), routing.confirmedAt(), next);
+        return new RoutingSection(
+                routing.table(), routing.revision(), routing.confirmedAt(), routing.checksFrom(), next);
     }
 
     private static RoutingSection withConfirmation(final RoutingSection routing, final Instant requestedAt) {
+        if (requestedAt.isBefore(routing.checksFrom())) {
+            return routing;
+        }
         final Instant latest = routing.confirmedAt()
                 .filter(known -> known.isAfter(requestedAt))
                 .orElse(requestedAt);
-        return new RoutingSection(routing.table(), routing.revision(), Optional.of(latest), routing.takenOut());
+        return new RoutingSection(
+                routing.table(), routing.revision(), Optional.of(latest), routing.checksFrom(), routing.takenOut());
     }
 }
--- a/src/main/java/org/lacewingstep/controller/SiteController.java
+++ b/src/main/java/org/lacewingstep/controller/SiteController.java
@@ -43,8 +43,8 @@
             case Event.SiteConfigured(SitePolicy policy, boolean firstStart) -> configure(board, policy, firstStart);
             case Event.SiteReloaded(SitePolicy policy) -> reload(site, policy);
             case Event.TimerFired(TimerKey.Presence()) -> renew(board, now);
-            case Event.PresenceRenewed(long lease) -> Outcome.of(withLease(site, lease));
-            case Event.PresenceRenewalFailed(boolean lapsed) -> retry(lapsed ? withLease(site, 0) : site, now);
+            case Event.PresenceRenewalEnded(boolean renewed, long lease) ->
+                renewed ? Outcome.of(withLease(site, lease)) : retry(withLease(site, lease), now);
             case Event.StoreRead(var content, long revision, var requestedAt) ->
                 Outcome.of(withPresent(site, apply(HashTreePMap.empty(), content)));
             case Event.StoreChanged(var changes, long revision) ->
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -12,12 +13,14 @@
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.PeerMessage;
+import org.lacewingstep.blackboard.SiteSection;
 import org.lacewingstep.blackboard.TimerKey;
 import org.lacewingstep.blackboard.UpstreamLoadSection;
 import org.lacewingstep.blackboard.UpstreamLoadSection.Load;
 import org.lacewingstep.blackboard.UpstreamLoadSection.PeerLoad;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
+import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamUse;
@@ -62,7 +65,7 @@
             case Event.UpstreamStalled(UpstreamName name) ->
                 Outcome.of(with(section, name, section.of(name).withBackOff(now.plus(STALL_BACKOFF))));
             case Event.TimerFired(TimerKey.LoadBroadcast()) -> broadcast(board, now);
-            case Event.PeerMessageReceived(Incarnation sender, PeerMessage.SiteLoad load) ->
+            case Event.PeerLoadReported(Incarnation sender, PeerMessage.SiteLoad load) ->
                 Outcome.of(new UpstreamLoadSection(
                         section.loads(),
                         section.peers().plus(sender.instance(), new PeerLoad(now, load.uses())),
@@ -114,12 +117,23 @@
             }
         });
         final PeerMessage message = new PeerMessage.SiteLoad(uses, AllowanceShare.recentSpending(board, now));
-        board.serving().site().others().forEach(member -> builder.add(new Effect.SendToPeer(member, message)));
-        final Instant due = now.plus(board.serving().site().broadcastInterval());
+        reportReceivers(board, now).forEach(member -> builder.add(new Effect.SendToPeer(member, message)));
+        final Instant due = now.plus(SiteSection.BROADCAST_INTERVAL);
         builder.add(new Effect.StartTimer(new TimerKey.LoadBroadcast(), due));
         return builder.outcome(new UpstreamLoadSection(section.loads(), section.peers(), due));
     }
 
+    /** Lists the receivers of a report; a relay sends its own report to itself and passes it on with the others. */
+    private static List<Member> reportReceivers(final Blackboard board, final Instant now) {
+        if (!board.serving().site().isRelayed()) {
+            return board.serving().site().others();
+        }
+        return RelayPolicy.isRelay(board, now)
+                ? List.of(board.identity().member())
+                : RelayPolicy.relayOfRank(board, board.serving().relay().query().rank()).stream()
+                        .toList();
+    }
+
     private static UpstreamLoadSection withRequestStarted(
             final UpstreamLoadSection section,
             final RegisteredUpstream upstream,
--- a/src/main/java/org/lacewingstep/peer/PeerCodec.java
+++ b/src/main/java/org/lacewingstep/peer/PeerCodec.java
@@ -27,6 +27,7 @@
 import org.lacewingstep.peer.wire.WireReservationAudit;
 import org.lacewingstep.peer.wire.WireReservationStatus;
 import org.lacewingstep.peer.wire.WireRosterAsk;
+import org.lacewingstep.peer.wire.WireStoreQuery;
 import org.lacewingstep.peer.wire.WireTokenAnswer;
 import org.lacewingstep.peer.wire.WireTokenAsk;
 import org.lacewingstep.peer.wire.WireTokenRefund;
@@ -70,6 +71,10 @@
                 WireMessage.configurationCopy(
                         new WireConfigurationCopy().setDocument(DocumentCodec.encode(configuration)));
             case PeerMessage.SiteLoad load -> WireMessage.siteLoad(RecordCodec.encodeSiteLoad(load));
+            case PeerMessage.StoreQuery(long number, long revision) ->
+                WireMessage.storeQuery(new WireStoreQuery(number, revision));
+            case PeerMessage.StoreUpdate update -> WireMessage.storeUpdate(RelayCodec.encodeUpdate(update));
+            case PeerMessage.LoadDigest digest -> WireMessage.loadDigest(RelayCodec.encodeDigest(digest));
         };
     }
 
@@ -114,6 +119,12 @@
                 new PeerMessage.ConfigurationCopy(DocumentCodec.decodeConfiguration(
                         message.getConfigurationCopy().getDocument()));
             case SITE_LOAD -> RecordCodec.decodeSiteLoad(message.getSiteLoad());
+            case STORE_QUERY ->
+                new PeerMessage.StoreQuery(
+                        message.getStoreQuery().getNumber(),
+                        message.getStoreQuery().getRevision());
+            case STORE_UPDATE -> RelayCodec.decodeUpdate(message.getStoreUpdate());
+            case LOAD_DIGEST -> RelayCodec.decodeDigest(message.getLoadDigest());
             case HELLO ->
                 throw new RouterException(
                         ErrorCode.PEER_PROTOCOL, "decode", "peer", "unexpected greeting on an established connection");
--- a/src/main/java/org/lacewingstep/peer/RecordCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RecordCodec.java
@@ -102,7 +102,7 @@
                 wire.getFailureDomains().stream().map(FailureDomainName::new).toList());
     }
 
-    private static WireMember encodeMember(final Member member) {
+    static WireMember encodeMember(final Member member) {
         return new WireMember(
                 member.name().value(),
                 member.incarnation().number(),
@@ -111,7 +111,7 @@
                 member.failureDomain().value());
     }
 
-    private static Member decodeMember(final WireMember wire) {
+    static Member decodeMember(final WireMember wire) {
         return new Member(
                 new Incarnation(new InstanceName(wire.getInstance()), wire.getIncarnation()),
                 new PeerAddress(wire.getHost(), wire.getPort()),
--- a/src/main/java/org/lacewingstep/peer/wire/WireMessage.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireMessage.java
@@ -26,6 +26,9 @@
   private static final org.apache.thrift.protocol.TField CONFIGURATION_ASK_FIELD_DESC = new org.apache.thrift.protocol.TField("configurationAsk", org.apache.thrift.protocol.TType.STRUCT, (short)15);
   private static final org.apache.thrift.protocol.TField CONFIGURATION_COPY_FIELD_DESC = new org.apache.thrift.protocol.TField("configurationCopy", org.apache.thrift.protocol.TType.STRUCT, (short)16);
   private static final org.apache.thrift.protocol.TField SITE_LOAD_FIELD_DESC = new org.apache.thrift.protocol.TField("siteLoad", org.apache.thrift.protocol.TType.STRUCT, (short)17);
+  private static final org.apache.thrift.protocol.TField STORE_QUERY_FIELD_DESC = new org.apache.thrift.protocol.TField("storeQuery", org.apache.thrift.protocol.TType.STRUCT, (short)18);
+  private static final org.apache.thrift.protocol.TField STORE_UPDATE_FIELD_DESC = new org.apache.thrift.protocol.TField("storeUpdate", org.apache.thrift.protocol.TType.STRUCT, (short)19);
+  private static final org.apache.thrift.protocol.TField LOAD_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("loadDigest", org.apache.thrift.protocol.TType.STRUCT, (short)20);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -45,7 +48,10 @@
     ROSTER_COPY((short)14, "rosterCopy"),
     CONFIGURATION_ASK((short)15, "configurationAsk"),
     CONFIGURATION_COPY((short)16, "configurationCopy"),
-    SITE_LOAD((short)17, "siteLoad");
+    SITE_LOAD((short)17, "siteLoad"),
+    STORE_QUERY((short)18, "storeQuery"),
+    STORE_UPDATE((short)19, "storeUpdate"),
+    LOAD_DIGEST((short)20, "loadDigest");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -95,6 +101,12 @@
           return CONFIGURATION_COPY;
         case 17: // SITE_LOAD
           return SITE_LOAD;
+        case 18: // STORE_QUERY
+          return STORE_QUERY;
+        case 19: // STORE_UPDATE
+          return STORE_UPDATE;
+        case 20: // LOAD_DIGEST
+          return LOAD_DIGEST;
         default:
           return null;
       }
@@ -174,6 +186,12 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireConfigurationCopy.class)));
     tmpMap.put(_Fields.SITE_LOAD, new org.apache.thrift.meta_data.FieldMetaData("siteLoad", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireSiteLoad.class)));
+    tmpMap.put(_Fields.STORE_QUERY, new org.apache.thrift.meta_data.FieldMetaData("storeQuery", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireStoreQuery.class)));
+    tmpMap.put(_Fields.STORE_UPDATE, new org.apache.thrift.meta_data.FieldMetaData("storeUpdate", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireStoreUpdate.class)));
+    tmpMap.put(_Fields.LOAD_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("loadDigest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireLoadDigest.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireMessage.class, metaDataMap);
   }
@@ -296,6 +314,24 @@
     return x;
   }
 
+  public static WireMessage storeQuery(WireStoreQuery value) {
+    WireMessage x = new WireMessage();
+    x.setStoreQuery(value);
+    return x;
+  }
+
+  public static WireMessage storeUpdate(WireStoreUpdate value) {
+    WireMessage x = new WireMessage();
+    x.setStoreUpdate(value);
+    return x;
+  }
+
+  public static WireMessage loadDigest(WireLoadDigest value) {
+    WireMessage x = new WireMessage();
+    x.setLoadDigest(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -385,6 +421,21 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type WireSiteLoad for field 'siteLoad', but got " + value.getClass().getSimpleName());
+      case STORE_QUERY:
+        if (value instanceof WireStoreQuery) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type WireStoreQuery for field 'storeQuery', but got " + value.getClass().getSimpleName());
+      case STORE_UPDATE:
+        if (value instanceof WireStoreUpdate) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type WireStoreUpdate for field 'storeUpdate', but got " + value.getClass().getSimpleName());
+      case LOAD_DIGEST:
+        if (value instanceof WireLoadDigest) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type WireLoadDigest for field 'loadDigest', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -565,6 +616,36 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case STORE_QUERY:
+          if (field.type == STORE_QUERY_FIELD_DESC.type) {
+            WireStoreQuery storeQuery;
+            storeQuery = new WireStoreQuery();
+            storeQuery.read(iprot);
+            return storeQuery;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case STORE_UPDATE:
+          if (field.type == STORE_UPDATE_FIELD_DESC.type) {
+            WireStoreUpdate storeUpdate;
+            storeUpdate = new WireStoreUpdate();
+            storeUpdate.read(iprot);
+            return storeUpdate;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case LOAD_DIGEST:
+          if (field.type == LOAD_DIGEST_FIELD_DESC.type) {
+            WireLoadDigest loadDigest;
+            loadDigest = new WireLoadDigest();
+            loadDigest.read(iprot);
+            return loadDigest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -645,6 +726,18 @@
         WireSiteLoad siteLoad = (WireSiteLoad)value_;
         siteLoad.write(oprot);
         return;
+      case STORE_QUERY:
+        WireStoreQuery storeQuery = (WireStoreQuery)value_;
+        storeQuery.write(oprot);
+        return;
+      case STORE_UPDATE:
+        WireStoreUpdate storeUpdate = (WireStoreUpdate)value_;
+        storeUpdate.write(oprot);
+        return;
+      case LOAD_DIGEST:
+        WireLoadDigest loadDigest = (WireLoadDigest)value_;
+        loadDigest.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -740,6 +833,21 @@
           siteLoad = new WireSiteLoad();
           siteLoad.read(iprot);
           return siteLoad;
+        case STORE_QUERY:
+          WireStoreQuery storeQuery;
+          storeQuery = new WireStoreQuery();
+          storeQuery.read(iprot);
+          return storeQuery;
+        case STORE_UPDATE:
+          WireStoreUpdate storeUpdate;
+          storeUpdate = new WireStoreUpdate();
+          storeUpdate.read(iprot);
+          return storeUpdate;
+        case LOAD_DIGEST:
+          WireLoadDigest loadDigest;
+          loadDigest = new WireLoadDigest();
+          loadDigest.read(iprot);
+          return loadDigest;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -819,6 +927,18 @@
         WireSiteLoad siteLoad = (WireSiteLoad)value_;
         siteLoad.write(oprot);
         return;
+      case STORE_QUERY:
+        WireStoreQuery storeQuery = (WireStoreQuery)value_;
+        storeQuery.write(oprot);
+        return;
+      case STORE_UPDATE:
+        WireStoreUpdate storeUpdate = (WireStoreUpdate)value_;
+        storeUpdate.write(oprot);
+        return;
+      case LOAD_DIGEST:
+        WireLoadDigest loadDigest = (WireLoadDigest)value_;
+        loadDigest.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -861,6 +981,12 @@
         return CONFIGURATION_COPY_FIELD_DESC;
       case SITE_LOAD:
         return SITE_LOAD_FIELD_DESC;
+      case STORE_QUERY:
+        return STORE_QUERY_FIELD_DESC;
+      case STORE_UPDATE:
+        return STORE_UPDATE_FIELD_DESC;
+      case LOAD_DIGEST:
+        return LOAD_DIGEST_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -1104,6 +1230,45 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.SITE_LOAD");
   }
 
+  public WireStoreQuery getStoreQuery() {
+    if (getSetField() == _Fields.STORE_QUERY) {
+      return (WireStoreQuery)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'storeQuery' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setStoreQuery(WireStoreQuery value) {
+    setField_ = _Fields.STORE_QUERY;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.STORE_QUERY");
+  }
+
+  public WireStoreUpdate getStoreUpdate() {
+    if (getSetField() == _Fields.STORE_UPDATE) {
+      return (WireStoreUpdate)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'storeUpdate' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setStoreUpdate(WireStoreUpdate value) {
+    setField_ = _Fields.STORE_UPDATE;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.STORE_UPDATE");
+  }
+
+  public WireLoadDigest getLoadDigest() {
+    if (getSetField() == _Fields.LOAD_DIGEST) {
+      return (WireLoadDigest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'loadDigest' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setLoadDigest(WireLoadDigest value) {
+    setField_ = _Fields.LOAD_DIGEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.LOAD_DIGEST");
+  }
+
   public boolean isSetHello() {
     return setField_ == _Fields.HELLO;
   }
@@ -1189,6 +1354,21 @@
   }
 
 
+  public boolean isSetStoreQuery() {
+    return setField_ == _Fields.STORE_QUERY;
+  }
+
+
+  public boolean isSetStoreUpdate() {
+    return setField_ == _Fields.STORE_UPDATE;
+  }
+
+
+  public boolean isSetLoadDigest() {
+    return setField_ == _Fields.LOAD_DIGEST;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof WireMessage) {
       return equals((WireMessage)other);
--- a/src/main/java/org/lacewingstep/platform/PlatformStoreAdapter.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreAdapter.java
@@ -157,19 +157,19 @@
     public void renewPresence(final Member self, final long lease, final Duration lifetime) {
         run(
                 lease == 0 ? acquireLease(self, lifetime) : extendLease(lease),
-                failure -> new Event.PresenceRenewalFailed(false));
+                failure -> new Event.PresenceRenewalEnded(false, lease));
     }
 
     private Promise<Event> extendLease(final long lease) {
         return store.call("POST", "/kv-keep/" + lease, PlatformStoreClient.RESPONSE_TIMEOUT)
                 .map(response -> {
                     if (response.status() == HTTP_NOT_FOUND) {
-                        return new Event.PresenceRenewalFailed(true);
+                        return new Event.PresenceRenewalEnded(false, 0);
                     }
                     if (response.status() != HTTP_OK) {
                         throw store.unexpectedStatus("keep", response);
                     }
-                    return new Event.PresenceRenewed(lease);
+                    return new Event.PresenceRenewalEnded(true, lease);
                 });
     }
 
@@ -185,7 +185,7 @@
                         if (writeResponse.status() != HTTP_OK) {
                             throw store.unexpectedStatus("presence", writeResponse);
                         }
-                        return new Event.PresenceRenewed(lease);
+                        return new Event.PresenceRenewalEnded(true, lease);
                     });
         });
     }
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -138,6 +138,64 @@
   2: map<string, double> spent
 }
 
+struct WireStoreQuery {
+  1: i64 number
+  2: i64 revision
+}
+
+struct WireRegisteredUpstream {
+  1: string name
+  2: i64 startedAtMilliseconds
+  3: string serviceName
+  4: string host
+  5: i32 port
+  6: string failureDomain
+  7: i32 role
+  8: i32 slots
+  9: bool draining
+  10: i64 coldMilliseconds
+}
+
+struct WireRoleChange {
+  1: string upstream
+  2: i32 role
+  3: i64 startedAtMilliseconds
+}
+
+struct WireRolePlan {
+  1: string author
+  2: list<WireRoleChange> changes
+  3: i64 revision
+}
+
+union WireStoreChange {
+  1: WireRegisteredUpstream upstreamRegistered
+  2: string upstreamUnregistered
+  3: WireMember instanceRegistered
+  4: string instanceUnregistered
+  5: string domainOutOfService
+  6: string domainInService
+  7: WireRolePlan rolePlan
+}
+
+struct WireStoreUpdate {
+  1: i64 number
+  2: i64 tableRevision
+  3: i64 revision
+  4: bool complete
+  5: list<WireStoreChange> changes
+}
+
+struct WireLoadReport {
+  1: string instance
+  2: i64 incarnation
+  3: WireSiteLoad load
+}
+
+struct WireLoadDigest {
+  1: list<WireLoadReport> reports
+}
+
 union WireMessage {
   1: WireHello hello
   2: WireHeartbeat heartbeat
@@ -156,4 +214,7 @@
   15: WireConfigurationAsk configurationAsk
   16: WireConfigurationCopy configurationCopy
   17: WireSiteLoad siteLoad
+  18: WireStoreQuery storeQuery
+  19: WireStoreUpdate storeUpdate
+  20: WireLoadDigest loadDigest
 }
--- a/src/test/java/org/lacewingstep/controller/CallAdmissionTest.java
+++ b/src/test/java/org/lacewingstep/controller/CallAdmissionTest.java
@@ -1,8 +1,10 @@
 package org.lacewingstep.controller;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 import org.lacewingstep.blackboard.CallInstruction;
@@ -65,6 +67,19 @@
         assertThat(refusalCode(request)).isEqualTo(ErrorCode.NOT_READY);
     }
 
+    @Test
+    void confirmationRequestedBeforeASuspensionDoesNotCount() {
+        final Instant requestedAt = site.now();
+        site.advanceClock(Duration.ofMillis(5));
+        site.step(new Event.ClockJumped(Duration.ofSeconds(8)));
+
+        site.step(new Event.TableConfirmed(Optional.empty(), 1, requestedAt));
+        assertThat(refusalCode(site.call("/post/x"))).isEqualTo(ErrorCode.NOT_READY);
+
+        site.confirmTable();
+        assertThat(site.lastInstruction(site.call("/post/x"))).isInstanceOf(CallInstruction.Send.class);
+    }
+
     @Test
     void unknownRouteIsRefusedAsUnknownOnlyWhileTheTableIsConfirmed() {
         assertThat(refusalCode(site.call("/nowhere/x"))).isEqualTo(ErrorCode.SERVICE_UNKNOWN);
--- /dev/null
+++ b/src/test/java/org/lacewingstep/controller/RelayControllerTest.java
@@ -0,0 +1,148 @@
+package org.lacewingstep.controller;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.PeerMessage;
+import org.lacewingstep.blackboard.StoreChange;
+import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.domain.Member;
+import org.lacewingstep.domain.RegisteredUpstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Tests what a relay answers, and what an instance concludes from an answer. */
+class RelayControllerTest {
+    private static final Member FOLLOWER = SiteFixture.member("i7");
+    private static final int INSTANCES = 24;
+
+    private final SiteFixture site = new SiteFixture(SiteFixture.member("i0"), true, 1000);
+
+    RelayControllerTest() {
+        site.readStore(SiteFixture.table(1, 1_000_000), SiteFixture.upstreams());
+        site.changeStore(SiteFixture.presentInstances("i", INSTANCES));
+    }
+
+    @Test
+    void queryIsAnsweredOnlyByAConfirmationThatWasRequestedAfterItArrived() {
+        final Instant before = site.now();
+        site.advanceClock(Duration.ofMillis(1));
+        receive(FOLLOWER, new PeerMessage.StoreQuery(3, 101));
+
+        site.step(new Event.TableConfirmed(Optional.empty(), 1, before));
+        assertThat(updates()).isEmpty();
+
+        site.step(new Event.TableConfirmed(Optional.empty(), 1, site.now()));
+        assertThat(updates()).singleElement().satisfies(update -> {
+            assertThat(update.number()).isEqualTo(3);
+            assertThat(update.tableRevision()).isEqualTo(1);
+        });
+    }
+
+    @Test
+    void answerContainsTheChangesSinceTheRevisionInTheQuery() {
+        final RegisteredUpstream leaving =
+                SiteFixture.draining(SiteFixture.upstreams().getFirst());
+        site.step(new Event.StoreChanged(List.of(new StoreChange.UpstreamRegistered(leaving)), 105));
+        receive(FOLLOWER, new PeerMessage.StoreQuery(1, 102));
+
+        site.step(new Event.TableConfirmed(Optional.empty(), 1, site.now()));
+
+        assertThat(updates()).singleElement().satisfies(update -> {
+            assertThat(update.complete()).isTrue();
+            assertThat(update.revision()).isEqualTo(105);
+            assertThat(update.changes()).containsExactly(new StoreChange.UpstreamRegistered(leaving));
+        });
+    }
+
+    @Test
+    void instanceThatIsTooFarBehindReadsTheStore() {
+        receive(FOLLOWER, new PeerMessage.StoreQuery(1, 50));
+        site.step(new Event.TableConfirmed(Optional.empty(), 1, site.now()));
+        assertThat(updates()).singleElement().satisfies(update -> assertThat(update.complete())
+                .isFalse());
+
+        receiveAnswer(1, 120, false);
+        assertThat(site.effects()).contains(new Effect.ReadStore());
+    }
+
+    @Test
+    void answerConfirmsTheTableFromWhenTheQueryWasSent() {
+        final Instant sentAt = sendQuery();
+        site.advanceClock(Duration.ofMillis(700));
+
+        receiveAnswer(1, 120, true);
+
+        assertThat(site.board().serving().routing().confirmedAt()).contains(sentAt);
+    }
+
+    @Test
+    void newerTableIsFetchedFromTheStore() {
+        sendQuery();
+
+        receiveAnswer(2, 120, true);
+
+        assertThat(site.effects()).contains(new Effect.ConfirmTable(1));
+    }
+
+    @Test
+    void answerToAQueryFromBeforeASuspensionConfirmsNothing() {
+        sendQuery();
+        final Optional<Instant> before = site.board().serving().routing().confirmedAt();
+        final long number = site.board().serving().relay().query().number();
+        site.step(new Event.ClockJumped(Duration.ofSeconds(4)));
+
+        receive(FOLLOWER, new PeerMessage.StoreUpdate(number, 1, 120, true, List.of()));
+
+        assertThat(before).isPresent();
+        assertThat(site.board().serving().routing().confirmedAt()).isEmpty();
+    }
+
+    @Test
+    void ownReportInADigestIsNotCounted() {
+        receive(
+                FOLLOWER,
+                new PeerMessage.LoadDigest(Map.of(
+                        site.board().identity().incarnation(), new PeerMessage.SiteLoad(Map.of(), Map.of()),
+                        SiteFixture.member("i9").incarnation(), new PeerMessage.SiteLoad(Map.of(), Map.of()))));
+
+        assertThat(site.board().serving().loads().peers())
+                .containsOnlyKeys(SiteFixture.member("i9").name());
+    }
+
+    /** Lets the time come at which this instance, which does not rank first, sends its query. */
+    private Instant sendQuery() {
+        site.advanceClock(Duration.ofSeconds(4));
+        site.step(new Event.TimerFired(new TimerKey.RelayTick()));
+        assertThat(site.effects())
+                .anyMatch(effect -> effect instanceof Effect.SendToPeer(var receiver, PeerMessage.StoreQuery query));
+        return site.now();
+    }
+
+    private void receiveAnswer(final long tableRevision, final long revision, final boolean complete) {
+        if (site.board().serving().relay().query().answered()) {
+            sendQuery();
+        }
+        final long number = site.board().serving().relay().query().number();
+        receive(FOLLOWER, new PeerMessage.StoreUpdate(number, tableRevision, revision, complete, List.of()));
+    }
+
+    private void receive(final Member sender, final PeerMessage message) {
+        site.step(new Event.PeerMessageReceived(sender.incarnation(), message));
+    }
+
+    private List<PeerMessage.StoreUpdate> updates() {
+        return site.effects().stream()
+                .filter(Effect.SendToPeer.class::isInstance)
+                .map(effect -> ((Effect.SendToPeer) effect).message())
+                .filter(PeerMessage.StoreUpdate.class::isInstance)
+                .map(PeerMessage.StoreUpdate.class::cast)
+                .toList();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/lacewingstep/controller/RelayFleet.java
@@ -0,0 +1,241 @@
+package org.lacewingstep.controller;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.StoreChange;
+import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.domain.FailureDomainName;
+import org.lacewingstep.domain.Incarnation;
+import org.lacewingstep.domain.InstanceName;
+import org.lacewingstep.domain.Member;
+import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.RoutingTable;
+
+/** Runs the real controllers of many instances against a simulated store and network in virtual time. */
+final class RelayFleet {
+    private static final Duration TICK = Duration.ofMillis(10);
+
+    private final List<Delivery> deliveries = new ArrayList<>();
+    private final List<SiteFixture> sites = new ArrayList<>();
+    private final List<Member> members = new ArrayList<>();
+    private final List<Map<TimerKey, Instant>> timers = new ArrayList<>();
+    private final List<WrittenChange> written = new ArrayList<>();
+    private final Map<Integer, Instant> cutUntil = new HashMap<>();
+    private final Map<Integer, Instant> suspendedUntil = new HashMap<>();
+    private final Map<Integer, Instant> suspendedSince = new HashMap<>();
+    private final Random random;
+
+    private Set<Integer> callers = new HashSet<>();
+    private int calls;
+    private Instant now;
+    private Instant peersCutUntil = Instant.EPOCH;
+    private long revision = 100;
+    private RoutingTable table = SiteFixture.table(1, 1_000_000);
+    private long tableRevision = 1;
+
+    /** An event that an instance has not received yet. */
+    private record Delivery(Instant due, int receiver, Event event) {}
+
+    /** A change of the store and its revision. */
+    private record WrittenChange(long revision, StoreChange change) {}
+
+    RelayFleet(final int instances, final int domains, final Random random) {
+        this.random = random;
+        for (int i = 0; i < instances; i++) {
+            members.add(new Member(
+                    new Incarnation(new InstanceName("i" + i), 1),
+                    new PeerAddress("127.0.0.1", 1),
+                    new FailureDomainName("domain-" + i % domains)));
+        }
+        final StoreChange[] present =
+                members.stream().map(StoreChange.InstanceRegistered::new).toArray(StoreChange[]::new);
+        for (final Member member : members) {
+            final SiteFixture site = new SiteFixture(member, true, 1000);
+            site.readStore(table, SiteFixture.upstreams());
+            site.changeStore(present);
+            sites.add(site);
+            timers.add(new HashMap<>());
+        }
+        now = sites.getFirst().now();
+        revision = 101;
+        for (int i = 0; i < instances; i++) {
+            drainEffects(i);
+        }
+    }
+
+    void run(final Duration time) {
+        final Instant end = now.plus(time);
+        while (now.isBefore(end)) {
+            now = now.plus(TICK);
+            for (int i = 0; i < sites.size(); i++) {
+                advance(i);
+            }
+        }
+    }
+
+    private void advance(final int index) {
+        final SiteFixture site = sites.get(index);
+        if (isActive(suspendedUntil, index)) {
+            return;
+        }
+        final Instant since = suspendedSince.remove(index);
+        if (since != null) {
+            site.step(new Event.ClockJumped(Duration.between(since, now)));
+        }
+        site.advanceClock(TICK);
+        for (final Map.Entry<TimerKey, Instant> timer :
+                List.copyOf(timers.get(index).entrySet())) {
+            if (!timer.getValue().isAfter(site.now())) {
+                timers.get(index).remove(timer.getKey());
+                site.step(new Event.TimerFired(timer.getKey()));
+            }
+        }
+        final List<Delivery> due = deliveries.stream()
+                .filter(delivery ->
+                        delivery.receiver() == index && !delivery.due().isAfter(now))
+                .toList();
+        deliveries.removeAll(due);
+        due.forEach(delivery -> site.step(delivery.event()));
+        drainEffects(index);
+    }
+
+    private void drainEffects(final int index) {
+        final SiteFixture site = sites.get(index);
+        final List<Effect> effects = List.copyOf(site.effects());
+        site.effects().removeIf(effect -> !(effect instanceof Effect.InstructCall));
+        for (final Effect effect : effects) {
+            switch (effect) {
+                case Effect.StartTimer(var key, Instant due) ->
+                    timers.get(index).put(key, due);
+                case Effect.SendToPeer(Member receiver, var message) ->
+                    deliver(
+                            index,
+                            members.indexOf(receiver),
+                            new Event.PeerMessageReceived(members.get(index).incarnation(), message));
+                case Effect.ConfirmTable(long known) -> confirm(index, known);
+                case Effect.AwaitStoreChanges(long known, Duration wait) -> watch(index, known, wait);
+                default -> {}
+            }
+        }
+    }
+
+    private void deliver(final int sender, final int receiver, final Event event) {
+        if (!isActive(cutUntil, sender) && !isActive(cutUntil, receiver) && !peersCutUntil.isAfter(now)) {
+            deliveries.add(new Delivery(now.plusMillis(1 + random.nextInt(4)), receiver, event));
+        }
+    }
+
+    private void confirm(final int index, final long known) {
+        count(index);
+        final Instant requestedAt = sites.get(index).now();
+        if (isActive(cutUntil, index)) {
+            deliveries.add(new Delivery(now.plusMillis(800), index, new Event.TableConfirmationFailed("no response")));
+            return;
+        }
+        final Optional<RoutingTable> newer = known == tableRevision ? Optional.empty() : Optional.of(table);
+        deliveries.add(new Delivery(
+                now.plusMillis(4 + random.nextInt(4)),
+                index,
+                new Event.TableConfirmed(newer, tableRevision, requestedAt)));
+    }
+
+    private void watch(final int index, final long known, final Duration wait) {
+        count(index);
+        if (isActive(cutUntil, index)) {
+            deliveries.add(new Delivery(
+                    now.plus(wait).plusMillis(800), index, new Event.StoreWatchFailed(false, "no response")));
+            return;
+        }
+        final List<StoreChange> changes = written.stream()
+                .filter(change -> change.revision() > known)
+                .map(WrittenChange::change)
+                .toList();
+        final Duration delay = changes.isEmpty() ? wait.dividedBy(10) : Duration.ofMillis(4);
+        deliveries.add(new Delivery(now.plus(delay), index, new Event.StoreChanged(changes, revision)));
+    }
+
+    private void count(final int index) {
+        calls++;
+        callers.add(index);
+    }
+
+    private boolean isActive(final Map<Integer, Instant> faults, final int index) {
+        return faults.getOrDefault(index, Instant.EPOCH).isAfter(now);
+    }
+
+    /** Writes a change to the store; a routing table gets the store's revision. */
+    void write(final StoreChange change) {
+        revision++;
+        if (change instanceof StoreChange.TableWritten(RoutingTable newTable, long ignored)) {
+            table = newTable;
+            tableRevision = revision;
+            written.add(new WrittenChange(revision, new StoreChange.TableWritten(newTable, revision)));
+        } else {
+            written.add(new WrittenChange(revision, change));
+        }
+    }
+
+    /** Cuts an instance off from the store and all peers. */
+    void cut(final int index, final Duration time) {
+        cutUntil.put(index, now.plus(time));
+    }
+
+    /** Cuts all connections between instances. */
+    void cutPeers(final Duration time) {
+        peersCutUntil = now.plus(time);
+    }
+
+    /** Cuts off or suspends a random instance for some seconds. */
+    void injectFault(final Random faults) {
+        final int index = faults.nextInt(sites.size());
+        final Duration time = Duration.ofMillis(1000 + faults.nextInt(9000));
+        if (faults.nextBoolean()) {
+            cut(index, time);
+        } else if (!isActive(suspendedUntil, index)) {
+            suspendedUntil.put(index, now.plus(time));
+            suspendedSince.put(index, now);
+        }
+    }
+
+    Set<Integer> callers() {
+        return callers;
+    }
+
+    int calls() {
+        return calls;
+    }
+
+    void resetCalls() {
+        calls = 0;
+        callers = new HashSet<>();
+    }
+
+    List<SiteFixture> sites() {
+        return sites;
+    }
+
+    List<SiteFixture> awakeSites() {
+        final List<SiteFixture> awake = new ArrayList<>();
+        for (int i = 0; i < sites.size(); i++) {
+            if (!isActive(suspendedUntil, i) && !suspendedSince.containsKey(i)) {
+                awake.add(sites.get(i));
+            }
+        }
+        return awake;
+    }
+
+    Instant now() {
+        return now;
+    }
+}
--- a/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
+++ b/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
@@ -13,6 +13,7 @@
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.junit.jupiter.api.Test;
 import org.lacewingstep.blackboard.PeerMessage;
+import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.domain.Access;
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.CellName;
@@ -22,14 +23,17 @@
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Reservation;
+import org.lacewingstep.domain.RolePlan;
 import org.lacewingstep.domain.Roster;
 import org.lacewingstep.domain.Service;
 import org.lacewingstep.domain.ServiceKind;
 import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
+import org.lacewingstep.domain.UpstreamRole;
 import org.lacewingstep.domain.UpstreamUse;
 import org.lacewingstep.peer.wire.WireHello;
 import org.lacewingstep.peer.wire.WireMessage;
@@ -69,6 +73,28 @@
         assertThatThrownBy(() -> PeerCodec.decode(hello)).hasMessageContaining("greeting");
     }
 
+    private static List<StoreChange> sampleChanges(final Member member) {
+        final UpstreamName name = new UpstreamName("p");
+        return List.of(
+                new StoreChange.UpstreamRegistered(new RegisteredUpstream(
+                        name,
+                        17,
+                        new ServiceName("s"),
+                        new PeerAddress("10.0.0.9", 8080),
+                        member.failureDomain(),
+                        UpstreamRole.DECODE,
+                        8,
+                        true,
+                        Duration.ofMillis(250))),
+                new StoreChange.UpstreamUnregistered(name),
+                new StoreChange.InstanceRegistered(member),
+                new StoreChange.InstanceUnregistered(member.name()),
+                new StoreChange.DomainOutOfService(member.failureDomain()),
+                new StoreChange.DomainInService(member.failureDomain()),
+                new StoreChange.RolePlanChanged(
+                        new RolePlan(member.name(), Map.of(name, new RolePlan.Change(UpstreamRole.PREFILL, 17))), 12));
+    }
+
     private static List<PeerMessage> sampleMessages() {
         final Member member = new Member(OWNER, new PeerAddress("10.0.0.1", 7000), new FailureDomainName("Rundu"));
         final Service service =
@@ -79,6 +105,9 @@
                 new PeerMessage.SiteLoad(Map.of(new UpstreamName("p"), new UpstreamUse(2, 300)), Map.of(TEAM, 1.5)),
                 new PeerMessage.Heartbeat(1, 2, 3, 4, 5, Optional.of(Duration.ofMillis(6))),
                 new PeerMessage.Heartbeat(1, 2, 3, 4, 5, Optional.empty()),
+                new PeerMessage.StoreQuery(8, 900),
+                new PeerMessage.StoreUpdate(8, 17, 910, true, sampleChanges(member)),
+                new PeerMessage.LoadDigest(Map.of(OWNER, new PeerMessage.SiteLoad(Map.of(), Map.of(TEAM, 2.5)))),
                 new PeerMessage.EpochAcknowledged(4, List.of(RESERVATION)),
                 new PeerMessage.TokenRequest(1, TEAM, 1, 500, true, Duration.ofMillis(20)),
                 new PeerMessage.TokenResponse(1, PeerMessage.TokenVerdict.REFUSED, 0, 0, Duration.ofMillis(9)),
