Spread requests over warm engines of a large site without turns

Change: reports carry how many requests an instance sent to each upstream in the last second; a warm engine among eight or more takes requests while all of them together stay under three tenths of what a cold one bears. Cold or busy engines keep shares and turns. Failed first: SharedLoadTest.everyPromptFindsAnIdlePrefillEngineOnALargeSite.

--- a/src/main/java/org/lacewingstep/controller/AllowanceShare.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceShare.java
@@ -134,13 +134,24 @@
     static long coldRequestLimit(
             final Blackboard board, final UpstreamName upstream, final double requestsPerSecond, final Instant now) {
         final SitePolicy policy = board.serving().site().bounds();
-        final double siteLimit = requestsPerSecond * policy.coldExcess() + policy.coldSlack();
-        final double ownShare = siteLimit * instanceShare(board);
+        final double ownShare = coldSiteLimit(board, requestsPerSecond) * instanceShare(board);
         return ownShare >= 1
                 ? (long) ownShare
                 : isSelected(policy.instance(), upstream, ownShare / SELECTION_DIVISOR, now) ? 1 : 0;
     }
 
+    /**
+     * Computes how many requests all instances together may send in a second to one upstream that may be cold.
+     *
+     * @param board the blackboard, not null
+     * @param requestsPerSecond the rate that a cold upstream sustains
+     * @return the number of requests
+     */
+    static double coldSiteLimit(final Blackboard board, final double requestsPerSecond) {
+        final SitePolicy policy = board.serving().site().bounds();
+        return requestsPerSecond * policy.coldExcess() + policy.coldSlack();
+    }
+
     private static boolean isSelected(
             final InstanceName instance, final UpstreamName upstream, final double probability, final Instant now) {
         final int hash = Hashing.murmur3_32()
--- a/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
@@ -56,6 +56,15 @@
     /** Upstreams compared at larger sites; comparing two random ones spreads load nearly as well as comparing all. */
     private static final int RANDOM_CANDIDATES = 2;
 
+    /**
+     * Fraction of the rate that a cold upstream bears up to which a warm one receives requests without a share or turn:
+     * should it turn cold unnoticed, the requests of the following second still stay below that rate.
+     */
+    private static final double SPARE_COLD_FRACTION = 0.3;
+
+    /** Upstreams of a role from which the requests of a site spread so widely that none receives many at once. */
+    private static final int MIN_ALTERNATIVES = 8;
+
     private UpstreamChoice() {}
 
     /**
@@ -75,8 +84,9 @@
             final FailureDomainName preferredDomain,
             final Instant now) {
         final List<Candidate> candidates = new ArrayList<>();
-        for (final Entry entry : shuffledEntries(board, call, roles)) {
-            if (isEligible(board, call, entry, now)) {
+        final List<Entry> entries = shuffledEntries(board, call, roles);
+        for (final Entry entry : entries) {
+            if (isEligible(board, call, entry, entries.size(), now)) {
                 candidates.add(new Candidate(entry.upstream(), cost(board, call, entry, preferredDomain, now)));
             }
             if (candidates.size() == candidateLimit(board)) {
@@ -116,12 +126,13 @@
                 .map(Entry::upstream);
     }
 
-    private static boolean isEligible(final Blackboard board, final Call call, final Entry entry, final Instant now) {
+    private static boolean isEligible(
+            final Blackboard board, final Call call, final Entry entry, final int alternatives, final Instant now) {
         final RegisteredUpstream upstream = entry.upstream();
         return isAvailable(board, call, entry, now)
                 && !call.tried().contains(upstream.name())
                 && hasCapacity(board, call, upstream, now)
-                && isWithinColdStartLimit(board, upstream, now);
+                && isWithinColdStartLimit(board, upstream, alternatives, now);
     }
 
     private static boolean isAvailable(final Blackboard board, final Call call, final Entry entry, final Instant now) {
@@ -172,15 +183,23 @@
 
     /** Limits every upstream as if cold, because an upstream may turn cold before its registry entry is updated. */
     private static boolean isWithinColdStartLimit(
-            final Blackboard board, final RegisteredUpstream upstream, final Instant now) {
+            final Blackboard board, final RegisteredUpstream upstream, final int alternatives, final Instant now) {
         final ServiceLimits service =
                 board.serving().routing().table().services().get(upstream.service());
         if (service == null || service.coldRequestsPerSecond() <= 0) {
             return true;
         }
-        final long limit =
-                AllowanceShare.coldRequestLimit(board, upstream.name(), service.coldRequestsPerSecond(), now);
-        return load(board, upstream).recentArrivals(now) < limit;
+        final long ownArrivals = load(board, upstream).recentArrivals(now);
+        return ownArrivals
+                        < AllowanceShare.coldRequestLimit(board, upstream.name(), service.coldRequestsPerSecond(), now)
+                || upstream.coldFor().isZero()
+                        && alternatives >= MIN_ALTERNATIVES
+                        && ownArrivals
+                                        + board.serving()
+                                                .use(upstream.name(), now)
+                                                .arrivals()
+                                < SPARE_COLD_FRACTION
+                                        * AllowanceShare.coldSiteLimit(board, service.coldRequestsPerSecond());
     }
 
     private static double cost(
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -112,8 +112,10 @@
         final OutcomeBuilder builder = new OutcomeBuilder();
         final Map<UpstreamName, UpstreamUse> uses = new HashMap<>();
         section.loads().forEach((name, load) -> {
-            if (load.running().requests() > 0) {
-                uses.put(name, load.running());
+            final UpstreamUse running = load.running();
+            final int arrivals = (int) load.recentArrivals(now);
+            if (running.requests() > 0 || arrivals > 0) {
+                uses.put(name, new UpstreamUse(running.requests(), running.tokens(), arrivals));
             }
         });
         final PeerMessage message = new PeerMessage.SiteLoad(uses, AllowanceShare.recentSpending(board, now));
--- a/src/main/java/org/lacewingstep/domain/UpstreamUse.java
+++ b/src/main/java/org/lacewingstep/domain/UpstreamUse.java
@@ -3,12 +3,13 @@
 import org.lacewingstep.error.Validate;
 
 /**
- * Number and memory of the requests running at an upstream.
+ * Number and memory of the requests running at an upstream, and how many were sent there lately.
  *
  * @param requests the number of running requests, not negative
  * @param tokens the memory that the requests need when all their output is generated, in tokens, not negative
+ * @param arrivals the number of requests sent in the last second, not negative
  */
-public record UpstreamUse(int requests, long tokens) {
+public record UpstreamUse(int requests, long tokens, int arrivals) {
     /** Use of an upstream that runs no requests. */
     public static final UpstreamUse NONE = new UpstreamUse(0, 0);
 
@@ -16,6 +17,17 @@
     public UpstreamUse {
         Validate.notNegative(requests, "requests");
         Validate.notNegative(tokens, "tokens");
+        Validate.notNegative(arrivals, "arrivals");
+    }
+
+    /**
+     * Creates a use without recent arrivals.
+     *
+     * @param requests the number of running requests, not negative
+     * @param tokens the memory that the requests need when all their output is generated, in tokens, not negative
+     */
+    public UpstreamUse(final int requests, final long tokens) {
+        this(requests, tokens, 0);
     }
 
     /**
@@ -25,7 +37,7 @@
      * @return the sum, never null
      */
     public UpstreamUse plus(final UpstreamUse other) {
-        return new UpstreamUse(requests + other.requests, tokens + other.tokens);
+        return new UpstreamUse(requests + other.requests, tokens + other.tokens, arrivals + other.arrivals);
     }
 
     /**
@@ -35,6 +47,6 @@
      * @return the remaining use, never null
      */
     public UpstreamUse minusRequest(final long requestTokens) {
-        return new UpstreamUse(Math.max(0, requests - 1), Math.max(0, tokens - requestTokens));
+        return new UpstreamUse(Math.max(0, requests - 1), Math.max(0, tokens - requestTokens), arrivals);
     }
 }
--- a/src/main/java/org/lacewingstep/peer/RecordCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RecordCodec.java
@@ -122,7 +122,7 @@
         final List<WireUpstreamUse> uses = new ArrayList<>();
         load.uses()
                 .forEach((upstream, use) ->
-                        uses.add(new WireUpstreamUse(upstream.value(), use.requests(), use.tokens())));
+                        uses.add(new WireUpstreamUse(upstream.value(), use.requests(), use.tokens(), use.arrivals())));
         final Map<String, Double> spent = new HashMap<>();
         load.spent().forEach((team, units) -> spent.put(team.value(), units));
         return new WireSiteLoad(uses, spent);
@@ -132,7 +132,8 @@
         final Map<UpstreamName, UpstreamUse> uses = new HashMap<>();
         wire.getUses()
                 .forEach(use -> uses.put(
-                        new UpstreamName(use.getUpstream()), new UpstreamUse(use.getRequests(), use.getTokens())));
+                        new UpstreamName(use.getUpstream()),
+                        new UpstreamUse(use.getRequests(), use.getTokens(), use.getArrivals())));
         final Map<TeamName, Double> spent = new HashMap<>();
         wire.getSpent().forEach((team, units) -> spent.put(new TeamName(team), units));
         return new PeerMessage.SiteLoad(uses, spent);
--- a/src/main/java/org/lacewingstep/peer/wire/WireUpstreamUse.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireUpstreamUse.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField UPSTREAM_FIELD_DESC = new org.apache.thrift.protocol.TField("upstream", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField REQUESTS_FIELD_DESC = new org.apache.thrift.protocol.TField("requests", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField TOKENS_FIELD_DESC = new org.apache.thrift.protocol.TField("tokens", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField ARRIVALS_FIELD_DESC = new org.apache.thrift.protocol.TField("arrivals", org.apache.thrift.protocol.TType.I32, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireUpstreamUseStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireUpstreamUseTupleSchemeFactory();
@@ -20,12 +21,14 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String upstream; // required
   private int requests; // required
   private long tokens; // required
+  private int arrivals; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     UPSTREAM((short)1, "upstream"),
     REQUESTS((short)2, "requests"),
-    TOKENS((short)3, "tokens");
+    TOKENS((short)3, "tokens"),
+    ARRIVALS((short)4, "arrivals");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +50,8 @@
           return REQUESTS;
         case 3: // TOKENS
           return TOKENS;
+        case 4: // ARRIVALS
+          return ARRIVALS;
         default:
           return null;
       }
@@ -92,6 +97,7 @@
   // isset id assignments
   private static final int __REQUESTS_ISSET_ID = 0;
   private static final int __TOKENS_ISSET_ID = 1;
+  private static final int __ARRIVALS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -102,6 +108,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.TOKENS, new org.apache.thrift.meta_data.FieldMetaData("tokens", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ARRIVALS, new org.apache.thrift.meta_data.FieldMetaData("arrivals", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireUpstreamUse.class, metaDataMap);
   }
@@ -112,7 +120,8 @@
   public WireUpstreamUse(
     java.lang.String upstream,
     int requests,
-    long tokens)
+    long tokens,
+    int arrivals)
   {
     this();
     this.upstream = upstream;
@@ -120,6 +129,8 @@
     setRequestsIsSet(true);
     this.tokens = tokens;
     setTokensIsSet(true);
+    this.arrivals = arrivals;
+    setArrivalsIsSet(true);
   }
 
   /**
@@ -132,6 +143,7 @@
     }
     this.requests = other.requests;
     this.tokens = other.tokens;
+    this.arrivals = other.arrivals;
   }
 
   @Override
@@ -146,6 +158,8 @@
     this.requests = 0;
     setTokensIsSet(false);
     this.tokens = 0;
+    setArrivalsIsSet(false);
+    this.arrivals = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -219,6 +233,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TOKENS_ISSET_ID, value);
   }
 
+  public int getArrivals() {
+    return this.arrivals;
+  }
+
+  public WireUpstreamUse setArrivals(int arrivals) {
+    this.arrivals = arrivals;
+    setArrivalsIsSet(true);
+    return this;
+  }
+
+  public void unsetArrivals() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ARRIVALS_ISSET_ID);
+  }
+
+  /** Returns true if field arrivals is set (has been assigned a value) and false otherwise */
+  public boolean isSetArrivals() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ARRIVALS_ISSET_ID);
+  }
+
+  public void setArrivalsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ARRIVALS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -246,6 +283,14 @@
       }
       break;
 
+    case ARRIVALS:
+      if (value == null) {
+        unsetArrivals();
+      } else {
+        setArrivals((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -262,6 +307,9 @@
     case TOKENS:
       return getTokens();
 
+    case ARRIVALS:
+      return getArrivals();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -280,6 +328,8 @@
       return isSetRequests();
     case TOKENS:
       return isSetTokens();
+    case ARRIVALS:
+      return isSetArrivals();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -324,6 +374,15 @@
         return false;
     }
 
+    boolean this_present_arrivals = true;
+    boolean that_present_arrivals = true;
+    if (this_present_arrivals || that_present_arrivals) {
+      if (!(this_present_arrivals && that_present_arrivals))
+        return false;
+      if (this.arrivals != that.arrivals)
+        return false;
+    }
+
     return true;
   }
 
@@ -339,6 +398,8 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tokens);
 
+    hashCode = hashCode * 8191 + arrivals;
+
     return hashCode;
   }
 
@@ -380,6 +441,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetArrivals(), other.isSetArrivals());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetArrivals()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.arrivals, other.arrivals);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -419,6 +490,10 @@
     sb.append("tokens:");
     sb.append(this.tokens);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("arrivals:");
+    sb.append(this.arrivals);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -490,6 +565,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // ARRIVALS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.arrivals = iprot.readI32();
+              struct.setArrivalsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -517,6 +600,9 @@
       oprot.writeFieldBegin(TOKENS_FIELD_DESC);
       oprot.writeI64(struct.tokens);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(ARRIVALS_FIELD_DESC);
+      oprot.writeI32(struct.arrivals);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -545,7 +631,10 @@
       if (struct.isSetTokens()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetArrivals()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetUpstream()) {
         oprot.writeString(struct.upstream);
       }
@@ -555,12 +644,15 @@
       if (struct.isSetTokens()) {
         oprot.writeI64(struct.tokens);
       }
+      if (struct.isSetArrivals()) {
+        oprot.writeI32(struct.arrivals);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireUpstreamUse struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.upstream = iprot.readString();
         struct.setUpstreamIsSet(true);
@@ -573,6 +665,10 @@
         struct.tokens = iprot.readI64();
         struct.setTokensIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.arrivals = iprot.readI32();
+        struct.setArrivalsIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/lacewingstep/placement/RoleBalance.java
+++ b/src/main/java/org/lacewingstep/placement/RoleBalance.java
@@ -6,7 +6,7 @@
  */
 public final class RoleBalance {
     /** Occupancy of the fuller role below which no engine changes its role. */
-    private static final double MIN_OCCUPANCY = 0.4;
+    private static final double MIN_OCCUPANCY = 0.3;
 
     /** Least decrease of the occupancy of the fuller role that justifies a change, as a fraction of this occupancy. */
     private static final double MIN_IMPROVEMENT = 0.1;
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -131,6 +131,7 @@
   1: string upstream
   2: i32 requests
   3: i64 tokens
+  4: i32 arrivals
 }
 
 struct WireSiteLoad {
--- a/src/test/java/org/lacewingstep/controller/SharedLoadTest.java
+++ b/src/test/java/org/lacewingstep/controller/SharedLoadTest.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.controller;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +18,7 @@
 import org.lacewingstep.domain.AllowanceBucket;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.Member;
+import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
@@ -134,7 +136,7 @@
             final Effect.SendToPeer send = (Effect.SendToPeer) effect;
             assertThat(send.receiver()).isEqualTo(OTHER);
             final PeerMessage.SiteLoad load = (PeerMessage.SiteLoad) send.message();
-            assertThat(load.uses()).containsEntry(upstream, new UpstreamUse(1, 700));
+            assertThat(load.uses()).containsEntry(upstream, new UpstreamUse(1, 700, 1));
             assertThat(load.spent()).containsEntry(SiteFixture.TEAM, 700.0);
         });
         assertThat(site.effects())
@@ -266,6 +268,68 @@
         assertThat(chosen).hasSizeGreaterThan(1).contains(new UpstreamName("ledger-3"));
     }
 
+    @Test
+    void everyPromptFindsAnIdlePrefillEngineOnALargeSite() {
+        configureTeamLimit(80);
+        addPrefillEngines(Duration.ZERO);
+        for (int i = 0; i < 40; i++) {
+            final RequestIdentifier request = site.call("/stream/x");
+            assertThat(site.lastSend(request).prefill()).isPresent();
+            site.endAttempt(request, new CallResult.Served());
+            site.advanceClock(Duration.ofMillis(500));
+            site.confirmTable();
+        }
+    }
+
+    @Test
+    void coldOrBusyEnginesReceiveRequestsOnlyInTurnsOnALargeSite() {
+        configureTeamLimit(80);
+        addPrefillEngines(Duration.ofSeconds(2));
+        final Map<UpstreamName, UpstreamUse> busy = new HashMap<>();
+        for (int i = 1; i <= 10; i++) {
+            busy.put(new UpstreamName("prefill-" + i), new UpstreamUse(1, 100, 4));
+        }
+        assertThat(prefillsOfFortyCalls()).isLessThan(20);
+
+        addPrefillEngines(Duration.ZERO);
+        receiveLoad(busy, Map.of());
+        assertThat(prefillsOfFortyCalls()).isLessThan(20);
+    }
+
+    private int prefillsOfFortyCalls() {
+        int prefills = 0;
+        for (int i = 0; i < 40; i++) {
+            final RequestIdentifier request = site.call("/stream/x");
+            site.advanceClock(Duration.ofMillis(100));
+            site.confirmTable();
+            if (!site.instructions(request).isEmpty()) {
+                prefills += site.lastSend(request).prefill().isPresent() ? 1 : 0;
+                site.endAttempt(request, new CallResult.Served());
+            }
+        }
+        return prefills;
+    }
+
+    private void addPrefillEngines(final Duration coldFor) {
+        for (int i = 1; i <= 10; i++) {
+            final RegisteredUpstream engine = SiteFixture.upstream(
+                    "prefill-" + i, SiteFixture.ENGINES, UpstreamRole.PREFILL, SiteFixture.LOCAL_DOMAIN);
+            site.changeStore(new StoreChange.UpstreamRegistered(new RegisteredUpstream(
+                    engine.name(),
+                    1,
+                    engine.service(),
+                    engine.address(),
+                    engine.failureDomain(),
+                    engine.role(),
+                    engine.slots(),
+                    false,
+                    coldFor)));
+            final RegisteredUpstream decode = SiteFixture.upstream(
+                    "decode-" + i, SiteFixture.ENGINES, UpstreamRole.DECODE, SiteFixture.LOCAL_DOMAIN);
+            site.changeStore(new StoreChange.UpstreamRegistered(decode));
+        }
+    }
+
     @Test
     void manyInstancesShareTheRequestRateOfAColdUpstream() {
         final int instances = 87;
--- a/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
+++ b/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
@@ -102,7 +102,7 @@
         final Configuration configuration =
                 new Configuration(3, Map.of(), Map.of(service.name(), service), Map.of(), Map.of(), Map.of());
         return List.of(
-                new PeerMessage.SiteLoad(Map.of(new UpstreamName("p"), new UpstreamUse(2, 300)), Map.of(TEAM, 1.5)),
+                new PeerMessage.SiteLoad(Map.of(new UpstreamName("p"), new UpstreamUse(2, 300, 4)), Map.of(TEAM, 1.5)),
                 new PeerMessage.Heartbeat(1, 2, 3, 4, 5, Optional.of(Duration.ofMillis(6))),
                 new PeerMessage.Heartbeat(1, 2, 3, 4, 5, Optional.empty()),
                 new PeerMessage.StoreQuery(8, 900),
