Reject foreign bytes with the expected errors only

Cause: [team] in place of [[team]] ended the check with a NullPointerException, the text of an incarnation with a NumberFormatException, and an effect that failed kept the other effects of its step, timers among them, from being executed. Change: each is a fault of its own: the list is reported as a fault, the text is rejected, a failed effect is logged and the others are executed.

--- a/src/main/java/org/lacewingstep/control/ControlThread.java
+++ b/src/main/java/org/lacewingstep/control/ControlThread.java
@@ -136,11 +136,16 @@
         }
     }
 
+    /** Executes one effect; its failure must not keep the other effects of the step, such as timers, from execution. */
     private void dispatch(final Effect effect) {
-        if (effect instanceof Effect.StartTimer(var key, Instant due)) {
-            timers.start(key, due);
-        } else {
-            handler.handle(effect);
+        try {
+            if (effect instanceof Effect.StartTimer(var key, Instant due)) {
+                timers.start(key, due);
+            } else {
+                handler.handle(effect);
+            }
+        } catch (final RuntimeException failure) {
+            LOGGER.error("an effect failed: {}", effect, failure);
         }
     }
 }
--- a/src/main/java/org/lacewingstep/domain/Incarnation.java
+++ b/src/main/java/org/lacewingstep/domain/Incarnation.java
@@ -24,7 +24,9 @@
     public static Incarnation parse(final String text) {
         final int slash = text.lastIndexOf('/');
         Validate.isTrue(slash > 0, "incarnation", "of the form instance/number");
-        return new Incarnation(new InstanceName(text.substring(0, slash)), Long.parseLong(text.substring(slash + 1)));
+        final String number = text.substring(slash + 1);
+        Validate.isTrue(number.matches("-?\\d{1,18}"), "incarnation", "of the form instance/number");
+        return new Incarnation(new InstanceName(text.substring(0, slash)), Long.parseLong(number));
     }
 
     @Override
--- a/src/main/java/org/lacewingstep/settings/TomlTable.java
+++ b/src/main/java/org/lacewingstep/settings/TomlTable.java
@@ -190,6 +190,7 @@
         final JsonNode node = tree.path(key);
         if (!node.isMissingNode() && !node.isArray()) {
             addFault(key, "must be a list of tables, each under [[" + key + "]]");
+            return tables;
         }
         for (int index = 0; index < node.size(); index++) {
             tables.add(new TomlTable(node.get(index), prefix + key + "[" + index + "].", faults));
--- a/src/test/java/org/lacewingstep/settings/SettingsTest.java
+++ b/src/test/java/org/lacewingstep/settings/SettingsTest.java
@@ -121,6 +121,12 @@
                 .hasMessageContaining("names the unknown service other");
     }
 
+    @Test
+    void reportsATableInPlaceOfAListOfTables() {
+        assertThatThrownBy(() -> compile(INVENTORY.replaceFirst("\\[\\[team]]", "[team]"), RULES, Configuration.EMPTY))
+                .hasMessageContaining("must be a list of tables, each under [[team]]");
+    }
+
     private Configuration compile(final String inventory, final String rules, final Configuration current)
             throws IOException {
         return InventoryCompiler.compile(write("inventory.toml", inventory), write("rules.toml", rules), current);
