Pace the store calls of instances without a relay, and wait for it at a start

Cause: until the first answer of its relay, and while no relay answers, each instance watched twice and confirmed once a second, and repeated failed calls each 0.4 s. Change: the first reading of the store counts as an answer; instances that are no relay keep the pace of the site, 45 watches and 40 confirmations a second of all, also after failures. Failed first: RelayFleetTest, two cases (start, cut of all connections at 95 instances).

--- a/src/main/java/org/lacewingstep/controller/RegistryController.java
+++ b/src/main/java/org/lacewingstep/controller/RegistryController.java
@@ -51,7 +51,7 @@
                 applySnapshot(registry, content, revision, now);
             case Event.StoreChanged(var changes, long revision) -> applyChanges(board, changes, revision, now);
             case Event.StoreWatchFailed(boolean historyLost, String reason) ->
-                handleFailedWatch(registry, historyLost, reason, now);
+                handleFailedWatch(board, historyLost, reason, now);
             case Event.TimerFired(TimerKey.StoreWatch()) -> resumeWatch(board, now);
             default -> Outcome.of(registry);
         };
@@ -83,18 +83,15 @@
         final RegistrySection registry = board.serving().registry();
         final OutcomeBuilder builder = new OutcomeBuilder();
         final PMap<UpstreamName, Entry> next = apply(registry.upstreams(), changes, now, builder);
-        builder.add(new Effect.StartTimer(new TimerKey.StoreWatch(), now.plus(watchInterval(board))));
+        builder.add(new Effect.StartTimer(
+                new TimerKey.StoreWatch(),
+                now.plus(RelayPolicy.pause(board, RELAYED_WATCH_INTERVAL, SITE_WATCHES_PER_SECOND, now))));
         return builder.outcome(new RegistrySection(withoutExpired(next, now), Optional.of(revision)));
     }
 
-    private static Duration watchInterval(final Blackboard board) {
-        return board.serving().site().isRelayed()
-                ? RELAYED_WATCH_INTERVAL
-                : board.serving().site().intervalFor(SITE_WATCHES_PER_SECOND);
-    }
-
     private static Outcome<RegistrySection> handleFailedWatch(
-            final RegistrySection registry, final boolean historyLost, final String reason, final Instant now) {
+            final Blackboard board, final boolean historyLost, final String reason, final Instant now) {
+        final RegistrySection registry = board.serving().registry();
         final OutcomeBuilder builder = new OutcomeBuilder();
         builder.add(new Effect.Log(Decision.of(
                 "registry",
@@ -105,7 +102,10 @@
             builder.add(new Effect.ReadStore());
             return builder.outcome(new RegistrySection(registry.upstreams(), Optional.empty()));
         }
-        builder.add(new Effect.StartTimer(new TimerKey.StoreWatch(), now.plus(RETRY_INTERVAL)));
+        final Duration pause = board.serving().site().isRelayed()
+                ? RelayPolicy.pause(board, RETRY_INTERVAL, SITE_WATCHES_PER_SECOND, now)
+                : RETRY_INTERVAL;
+        builder.add(new Effect.StartTimer(new TimerKey.StoreWatch(), now.plus(pause)));
         return builder.outcome(registry);
     }
 
@@ -113,7 +113,7 @@
         final RegistrySection registry = board.serving().registry();
         final OutcomeBuilder builder = new OutcomeBuilder();
         if (registry.revision().isPresent() && !RelayPolicy.readsStore(board, now)) {
-            builder.add(new Effect.StartTimer(new TimerKey.StoreWatch(), now.plus(watchInterval(board))));
+            builder.add(new Effect.StartTimer(new TimerKey.StoreWatch(), now.plus(RELAYED_WATCH_INTERVAL)));
             return builder.outcome(registry);
         }
         builder.add(registry.revision()
--- a/src/main/java/org/lacewingstep/controller/RelayController.java
+++ b/src/main/java/org/lacewingstep/controller/RelayController.java
@@ -66,7 +66,7 @@
             case Event.SiteConfigured configured -> scheduleTick(section, new OutcomeBuilder(), now);
             case Event.TimerFired(TimerKey.RelayTick()) -> tick(board, now);
             case Event.StoreRead(var content, long revision, Instant requestedAt) ->
-                Outcome.of(section.withHistory(TreePVector.empty(), revision));
+                Outcome.of(withFirstAnswer(section, now).withHistory(TreePVector.empty(), revision));
             case Event.StoreChanged(var changes, long revision) -> Outcome.of(withHistory(section, changes, revision));
             case Event.TableConfirmed(var newer, long revision, Instant requestedAt) ->
                 answerQueries(board, revision, requestedAt);
@@ -97,6 +97,11 @@
         return builder.outcome(section);
     }
 
+    /** Counts the first reading of the store as an answer, so that an instance that starts waits for its relay. */
+    private static RelaySection withFirstAnswer(final RelaySection section, final Instant now) {
+        return section.answeredAt().equals(Instant.EPOCH) ? section.withQuery(section.query(), now) : section;
+    }
+
     private static Outcome<RelaySection> tick(final Blackboard board, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
         RelaySection section = board.serving().relay();
--- a/src/main/java/org/lacewingstep/controller/RelayPolicy.java
+++ b/src/main/java/org/lacewingstep/controller/RelayPolicy.java
@@ -75,6 +75,22 @@
                 || !board.serving().relay().answeredAt().plus(ANSWER_TIMEOUT).isAfter(now);
     }
 
+    /**
+     * Computes the pause before this instance calls the store again for one purpose.
+     *
+     * @param board the blackboard, not null
+     * @param relayPause the pause of a relay, not null
+     * @param perSecond the calls per second of all instances together, by which the others are paced
+     * @param now the present time, not null
+     * @return the pause, never null
+     */
+    static Duration pause(final Blackboard board, final Duration relayPause, final int perSecond, final Instant now) {
+        final Duration paced = board.serving().site().intervalFor(perSecond);
+        return isRelay(board, now) || board.serving().site().isRelayed() && paced.compareTo(relayPause) < 0
+                ? relayPause
+                : paced;
+    }
+
     /**
      * Finds the relay to which this instance sends its queries and load reports.
      *
--- a/src/main/java/org/lacewingstep/controller/RoutingController.java
+++ b/src/main/java/org/lacewingstep/controller/RoutingController.java
@@ -43,7 +43,7 @@
             case Event.TimerFired(TimerKey.TableConfirmation()) -> requestConfirmation(board, now);
             case Event.TableConfirmed(var newer, long revision, Instant requestedAt) ->
                 handleConfirmation(routing, newer, revision, requestedAt);
-            case Event.TableConfirmationFailed(String reason) -> handleFailedConfirmation(routing, reason, now);
+            case Event.TableConfirmationFailed(String reason) -> handleFailedConfirmation(board, reason, now);
             case Event.StoreRead(var content, long revision, Instant requestedAt) ->
                 applySnapshot(routing, content, requestedAt);
             case Event.StoreChanged(var changes, long revision) -> applyChanges(routing, changes);
@@ -68,18 +68,22 @@
     }
 
     private static Effect nextConfirmationTimer(final Blackboard board, final Instant now) {
-        final Duration interval = board.serving().site().isRelayed()
-                ? MIN_CONFIRMATION_INTERVAL
-                : board.serving().site().intervalFor(SITE_CONFIRMATIONS_PER_SECOND);
+        final Duration interval = RelayPolicy.readsStore(board, now)
+                ? RelayPolicy.pause(board, MIN_CONFIRMATION_INTERVAL, SITE_CONFIRMATIONS_PER_SECOND, now)
+                : MIN_CONFIRMATION_INTERVAL;
         return new Effect.StartTimer(
                 new TimerKey.TableConfirmation(),
                 now.plus(interval.compareTo(MIN_CONFIRMATION_INTERVAL) > 0 ? interval : MIN_CONFIRMATION_INTERVAL));
     }
 
     private static Outcome<RoutingSection> handleFailedConfirmation(
-            final RoutingSection routing, final String reason, final Instant now) {
+            final Blackboard board, final String reason, final Instant now) {
+        final RoutingSection routing = board.serving().routing();
         final OutcomeBuilder builder = new OutcomeBuilder();
-        builder.add(new Effect.StartTimer(new TimerKey.TableConfirmation(), now.plus(RETRY_INTERVAL)));
+        final Duration pause = board.serving().site().isRelayed()
+                ? RelayPolicy.pause(board, RETRY_INTERVAL, SITE_CONFIRMATIONS_PER_SECOND, now)
+                : RETRY_INTERVAL;
+        builder.add(new Effect.StartTimer(new TimerKey.TableConfirmation(), now.plus(pause)));
         builder.add(new Effect.Log(Decision.of(
                 "routing_proof",
                 "failed",
--- a/src/test/java/org/lacewingstep/controller/RelayFleetTest.java
+++ b/src/test/java/org/lacewingstep/controller/RelayFleetTest.java
@@ -45,6 +45,29 @@
         assertThat(fleet.calls()).isLessThanOrEqualTo(DOMAINS * 3 * 11);
     }
 
+    @Test
+    void instancesThatStartWaitForTheirRelay() {
+        fleet.run(Duration.ofSeconds(4));
+
+        // Each instance has a first watch after its reading of the store; the relays confirm and watch besides.
+        assertThat(fleet.calls()).isLessThanOrEqualTo(INSTANCES + DOMAINS * 3 * 5);
+    }
+
+    @Test
+    void callsOfInstancesWithoutARelayArePaced() {
+        final RelayFleet large = new RelayFleet(95, 5, new Random(1));
+        large.run(Duration.ofSeconds(6));
+        large.cutPeers(Duration.ofSeconds(30));
+        large.run(Duration.ofSeconds(5));
+        large.resetCalls();
+
+        large.run(Duration.ofSeconds(10));
+
+        // 40 confirmations and 45 watches a second of all, and those of the relays.
+        assertThat(large.calls()).isLessThanOrEqualTo((40 + 45) * 11 + 5 * 3 * 11);
+        assertThat(large.sites()).allMatch(site -> CallAdmission.isReady(site.board(), site.now()));
+    }
+
     @Test
     void everyInstanceStaysReady() {
         fleet.run(Duration.ofSeconds(4));
