Wait three seconds after a failed write of a role plan

Change: a failed write is repeated after three seconds. The test of the repetition checks the pause now.

--- a/src/main/java/org/lacewingstep/blackboard/RoleSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/RoleSection.java
@@ -17,6 +17,7 @@
  * @param revision the store's revision of the plan, zero for none
  * @param observedAt when this instance first saw the plan, not null
  * @param writing the plan that this instance is writing to the store, empty for none
+ * @param failedAt when the store last refused or did not answer the write of a plan, not null
  * @param occupancies how full the engines of each service are, not null
  */
 public record RoleSection(
@@ -24,11 +25,12 @@
         long revision,
         Instant observedAt,
         Optional<RolePlan> writing,
+        Instant failedAt,
         PMap<ServiceName, Occupancy> occupancies)
         implements ServingSection {
     /** The initial section of a process. */
     public static final RoleSection INITIAL =
-            new RoleSection(Optional.empty(), 0, Instant.EPOCH, Optional.empty(), HashTreePMap.empty());
+            new RoleSection(Optional.empty(), 0, Instant.EPOCH, Optional.empty(), Instant.EPOCH, HashTreePMap.empty());
 
     /** Time after which a change that an engine has not made is given up; longer than an engine needs for a change. */
     private static final Duration CHANGE_TIMEOUT = Duration.ofSeconds(15);
--- a/src/main/java/org/lacewingstep/controller/RoleController.java
+++ b/src/main/java/org/lacewingstep/controller/RoleController.java
@@ -41,6 +41,9 @@
     /** Time after the request to write a plan within which the plan's orders are sent. */
     static final Duration ORDER_PERIOD = Duration.ofMillis(1500);
 
+    /** Time after a failed write before the next one, because each call to the store has a cost. */
+    private static final Duration RETRY_INTERVAL = Duration.ofSeconds(3);
+
     /** Interval between two samples of the occupancy. */
     private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(250);
 
@@ -69,7 +72,7 @@
             case Event.StoreChanged(var changes, long revision) -> Outcome.of(apply(section, changes, now));
             case Event.RolePlanWriteEnded(RolePlan plan, var revision, Instant requestedAt) ->
                 revision.map(written -> order(board, plan, written, requestedAt, now))
-                        .orElseGet(() -> abandonWrite(section));
+                        .orElseGet(() -> abandonWrite(section, now));
             // The time of a suspension is not part of the present time, so the order period cannot be checked.
             case Event.ClockJumped jumped -> Outcome.of(withWriting(section, Optional.empty()));
             default -> Outcome.of(section);
@@ -133,6 +136,7 @@
                 section.revision(),
                 section.observedAt(),
                 section.writing(),
+                section.failedAt(),
                 section.occupancies().plus(service.name(), next));
     }
 
@@ -144,6 +148,7 @@
                 .filter(self::equals)
                 .isPresent();
         if (!first
+                || section.failedAt().plus(RETRY_INTERVAL).isAfter(now)
                 || !board.lifecycle().isReady()
                 || board.serving().registry().revision().isEmpty()) {
             return false;
@@ -217,12 +222,18 @@
             final RoleSection section, final RolePlan plan, final long revision, final Instant now) {
         return revision <= section.revision()
                 ? section
-                : new RoleSection(Optional.of(plan), revision, now, section.writing(), section.occupancies());
+                : new RoleSection(
+                        Optional.of(plan), revision, now, section.writing(), section.failedAt(), section.occupancies());
     }
 
     private static RoleSection withWriting(final RoleSection section, final Optional<RolePlan> writing) {
         return new RoleSection(
-                section.plan(), section.revision(), section.observedAt(), writing, section.occupancies());
+                section.plan(),
+                section.revision(),
+                section.observedAt(),
+                writing,
+                section.failedAt(),
+                section.occupancies());
     }
 
     private static Outcome<RoleSection> order(
@@ -251,9 +262,15 @@
         return builder.outcome(withWriting(withPlan(section, plan, revision, now), Optional.empty()));
     }
 
-    private static Outcome<RoleSection> abandonWrite(final RoleSection section) {
+    private static Outcome<RoleSection> abandonWrite(final RoleSection section, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
         builder.add(new Effect.Log(Decision.of("role", "plan not written", Input.of("revision", section.revision()))));
-        return builder.outcome(withWriting(section, Optional.empty()));
+        return builder.outcome(new RoleSection(
+                section.plan(),
+                section.revision(),
+                section.observedAt(),
+                Optional.empty(),
+                now,
+                section.occupancies()));
     }
 }
--- a/src/test/java/org/lacewingstep/controller/RoleControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/RoleControllerTest.java
@@ -128,14 +128,16 @@
     }
 
     @Test
-    void planIsTriedAgainAfterARefusedWrite() {
+    void planIsTriedAgainSomeTimeAfterARefusedWrite() {
         final RolePlan plan = planWhileTheMemoryIsFull();
         site.step(new Event.RolePlanWriteEnded(plan, Optional.empty(), site.now()));
         site.effects().clear();
 
-        sampleWhileTheMemoryIsFull(OTHER);
+        sampleWhileTheMemoryIsFull(OTHER, 11);
+        assertThat(plans()).isEmpty();
 
-        assertThat(plans()).isNotEmpty();
+        sampleWhileTheMemoryIsFull(OTHER, 1);
+        assertThat(plans()).hasSize(1);
     }
 
     private RolePlan planWhileTheMemoryIsFull() {
@@ -145,7 +147,11 @@
     }
 
     private void sampleWhileTheMemoryIsFull(final Member reporter) {
-        for (int i = 0; i < 12; i++) {
+        sampleWhileTheMemoryIsFull(reporter, 12);
+    }
+
+    private void sampleWhileTheMemoryIsFull(final Member reporter, final int samples) {
+        for (int i = 0; i < samples; i++) {
             reportMemoryUse(reporter, SiteFixture.MEMORY_TOKENS * 9 / 10);
             site.advanceClock(Duration.ofMillis(250));
             site.confirmTable();
