Number the queries of each process differently

Cause, found by reading: queries of a process started at one, so an answer to an earlier process of the instance, delayed by a suspended relay, could match the first query of the next process and confirm a routing table from before that query was sent. Change: the numbers start at the number of the process times a million. Reports that arrive at an instance that is no relay are not kept for later. Failed first: RelayControllerTest.answerToAnEarlierProcessOfThisInstanceConfirmsNothing.

--- a/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
+++ b/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
@@ -180,7 +180,7 @@
     record ConfigurationCopy(Configuration configuration) implements PeerMessage {}
 
     /**
-     * Asks a relay for a confirmation of the routing table and for the changes of the platform's store.
+     * Requests a confirmation of the routing table and the changes of the platform's store from a relay.
      *
      * @param number the number of the query at the sender, increasing
      * @param revision the store's revision up to which the sender knows all changes
--- a/src/main/java/org/lacewingstep/controller/RelayController.java
+++ b/src/main/java/org/lacewingstep/controller/RelayController.java
@@ -48,10 +48,13 @@
     /** Time without an answer after which the next query goes to another relay; longer than a relay's two calls. */
     private static final Duration QUERY_TIMEOUT = Duration.ofMillis(1500);
 
+    /** More queries than a process sends between two milliseconds, the unit of the number of a process. */
+    private static final long QUERIES_OF_PROCESS = 1_000_000;
+
     /** Every how many queries the relay that ranks first is tried again after another one took its place. */
     private static final int FIRST_RANK_PERIOD = 30;
 
-    /** Changes kept for instances that ask for them; some seconds of a large site. */
+    /** Changes kept for the answers to queries; some seconds of a large site. */
     private static final int MAX_HISTORY = 1000;
 
     @Override
@@ -82,10 +85,7 @@
             case Event.ClockJumped jumped ->
                 Outcome.of(section.withQuery(
                         new SentQuery(
-                                section.query().number() + 1,
-                                now,
-                                false,
-                                section.query().rank()),
+                                nextNumber(board), now, false, section.query().rank()),
                         section.answeredAt()));
             default -> Outcome.of(section);
         };
@@ -106,7 +106,9 @@
         final OutcomeBuilder builder = new OutcomeBuilder();
         RelaySection section = board.serving().relay();
         if (board.serving().site().isRelayed()) {
-            section = RelayPolicy.isRelay(board, now) ? passReportsOn(board, builder) : section;
+            section = RelayPolicy.isRelay(board, now)
+                    ? passReportsOn(board, builder)
+                    : section.withReports(HashTreePMap.empty(), HashTreePMap.empty());
             section = section.withQuery(sendQuery(board, builder, now), section.answeredAt());
         }
         return scheduleTick(section, builder, now);
@@ -121,7 +123,7 @@
                 || RelayPolicy.isRelay(board, now)) {
             return last;
         }
-        final SentQuery next = new SentQuery(last.number() + 1, now, false, nextRank(last));
+        final SentQuery next = new SentQuery(nextNumber(board), now, false, nextRank(last));
         RelayPolicy.relayOfRank(board, next.rank())
                 .ifPresent(relay -> builder.add(new Effect.SendToPeer(
                         relay,
@@ -135,6 +137,12 @@
         return next;
     }
 
+    /** Numbers the queries of each process differently, so that no answer to an earlier process matches. */
+    private static long nextNumber(final Blackboard board) {
+        final long first = board.identity().incarnation().number() * QUERIES_OF_PROCESS;
+        return Math.max(first, board.serving().relay().query().number()) + 1;
+    }
+
     private static int nextRank(final SentQuery last) {
         if (!last.answered()) {
             return last.rank() + 1;
--- a/src/main/java/org/lacewingstep/placement/RoleBalance.java
+++ b/src/main/java/org/lacewingstep/placement/RoleBalance.java
@@ -1,8 +1,8 @@
 package org.lacewingstep.placement;
 
 /**
- * Chooses how many engines of a service process prompts and how many generate output, by the measured occupancy of both
- * roles. Answers loads at which the engines of one role are full while those of the other are idle.
+ * Chooses how many engines of a service process prompts and how many generate output, by the occupancy of both roles.
+ * Answers loads at which the engines of one role are full while those of the other are idle.
  */
 public final class RoleBalance {
     /** Occupancy of the fuller role below which no engine changes its role. */
--- a/src/test/java/org/lacewingstep/controller/RelayControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/RelayControllerTest.java
@@ -104,6 +104,23 @@
         assertThat(site.board().serving().routing().confirmedAt()).isEmpty();
     }
 
+    @Test
+    void answerToAnEarlierProcessOfThisInstanceConfirmsNothing() {
+        sendQuery();
+        final long earlier = site.board().serving().relay().query().number();
+        final SiteFixture restarted = new SiteFixture(SiteFixture.member("i0", 2), true, 1000);
+        restarted.readStore(SiteFixture.table(1, 1_000_000), SiteFixture.upstreams());
+        restarted.changeStore(SiteFixture.presentInstances("i", INSTANCES));
+        final Optional<Instant> readAt = restarted.board().serving().routing().confirmedAt();
+        restarted.advanceClock(Duration.ofSeconds(4));
+        restarted.step(new Event.TimerFired(new TimerKey.RelayTick()));
+
+        restarted.step(new Event.PeerMessageReceived(
+                FOLLOWER.incarnation(), new PeerMessage.StoreUpdate(earlier, 1, 120, true, List.of())));
+
+        assertThat(restarted.board().serving().routing().confirmedAt()).isEqualTo(readAt);
+    }
+
     @Test
     void ownReportInADigestIsNotCounted() {
         receive(
