--- a/src/test/java/org/lacewingstep/command/BrokenConnectionTest.java
+++ b/src/test/java/org/lacewingstep/command/BrokenConnectionTest.java
@@ -1,7 +1,6 @@
 package org.lacewingstep.command;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -31,6 +30,7 @@
 import org.lacewingstep.standin.PlatformStandIns;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.lacewingstep.command.ProcessTestSupport.freePort;
 
 /**
  * Tests that a call that may run only once is not sent again when its connection breaks, over real sockets.
@@ -184,12 +184,6 @@
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     private static Path write(final String name, final String text) throws IOException {
         return Files.writeString(folder.resolve(name), text);
     }
--- a/src/test/java/org/lacewingstep/command/EndlessResponseTest.java
+++ b/src/test/java/org/lacewingstep/command/EndlessResponseTest.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -16,7 +15,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.AfterAll;
@@ -29,13 +27,15 @@
 import org.lacewingstep.standin.PlatformStoreStandIn;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.lacewingstep.command.ProcessTestSupport.TIMEOUT;
+import static org.lacewingstep.command.ProcessTestSupport.await;
+import static org.lacewingstep.command.ProcessTestSupport.freePort;
 
 /**
  * Tests responses without end over real sockets: the caller gets a true answer within its deadline and the connection
  * is closed, while responses that are only large or slow pass.
  */
 class EndlessResponseTest {
-    private static final Duration TIMEOUT = Duration.ofSeconds(60);
     private static final int DEADLINE_MILLISECONDS = 3000;
 
     /** Time for an answer beyond the deadline, for a busy machine. */
@@ -221,18 +221,4 @@
         }
         return text.toString();
     }
-
-    private static void await(final Callable<Boolean> condition) throws Exception {
-        final Instant end = Instant.now().plus(TIMEOUT);
-        while (!condition.call()) {
-            assertThat(Instant.now()).isBefore(end);
-            Thread.sleep(20);
-        }
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
 }
--- a/src/test/java/org/lacewingstep/command/PlatformProcessTest.java
+++ b/src/test/java/org/lacewingstep/command/PlatformProcessTest.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -11,9 +10,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
-import java.time.Instant;
-import java.util.concurrent.Callable;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.AfterAll;
@@ -29,10 +25,12 @@
 import org.lacewingstep.standin.PlatformStoreStandIn.Fault;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.lacewingstep.command.ProcessTestSupport.TIMEOUT;
+import static org.lacewingstep.command.ProcessTestSupport.await;
+import static org.lacewingstep.command.ProcessTestSupport.freePort;
 
 /** Tests an instance on a platform over real sockets, against test doubles of its store and its upstreams. */
 class PlatformProcessTest {
-    private static final Duration TIMEOUT = Duration.ofSeconds(60);
     private static final String SETTINGS =
             """
             {"node":"front-a-1","ip":"127.0.0.1","internalPorts":[%d],"zone":"a","zones":{"a":"r"},"bootstrap":true,
@@ -313,18 +311,4 @@
         version++;
         store.put("op/config", TABLE.formatted(version, key));
     }
-
-    private static void await(final Callable<Boolean> condition) throws Exception {
-        final Instant end = Instant.now().plus(TIMEOUT);
-        while (!condition.call()) {
-            assertThat(Instant.now()).isBefore(end);
-            Thread.sleep(20);
-        }
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
 }
