Log why a call is not sent again and how long an upstream was silent

A broken stream that ended without an answer left no trace of why no other attempt followed: a route that is not repeatable, no attempt left, a spent budget and a passed deadline wrote the same line. The answer line now carries no_retry, and the failed exchange says for how many milliseconds the upstream sent nothing. With this the hypotheses on the stream that was cut beside a withdrawal of keys can be told apart in the log.

--- a/src/main/java/org/lacewingstep/controller/CallCompletion.java
+++ b/src/main/java/org/lacewingstep/controller/CallCompletion.java
@@ -39,15 +39,13 @@
         releaseUpstreams(call, Optional.of(result), builder);
         return switch (result) {
             case CallResult.Served() -> complete(board, call, "served", builder, now);
-            case CallResult.FailedByUpstream(int status) ->
-                status >= SERVER_ERROR && mayRetry(board, call, true, now)
-                        ? retry(board, call, true, builder, result, now)
-                        : instruct(board, call, new CallInstruction.ForwardFailure(), builder, result);
+            case CallResult.FailedByUpstream(int status)
+            when status < SERVER_ERROR ->
+                instruct(board, call, new CallInstruction.ForwardFailure(), builder, result, Optional.empty());
+            case CallResult.FailedByUpstream failed ->
+                retryOrInstruct(board, call, new CallInstruction.ForwardFailure(), builder, result, now);
             case CallResult.NotRun(boolean reached) -> handleNotRun(board, call, reached, builder, now);
-            case CallResult.Broken broken ->
-                mayRetry(board, call, true, now)
-                        ? retry(board, call, true, builder, result, now)
-                        : instruct(board, call, failure(broken), builder, result);
+            case CallResult.Broken broken -> retryOrInstruct(board, call, failure(broken), builder, result, now);
         };
     }
 
@@ -68,7 +66,7 @@
                 ? new CallInstruction.Fail(ErrorCode.DEADLINE_EXCEEDED, "no answer before the deadline")
                 : new CallInstruction.Refuse(
                         Refusal.of(ErrorCode.NO_CAPACITY, "no upstream was free before the deadline"));
-        return instruct(board, call, instruction, builder, result);
+        return instruct(board, call, instruction, builder, result, Optional.empty());
     }
 
     /**
@@ -98,7 +96,8 @@
             final OutcomeBuilder builder,
             final Instant now) {
         final Call counted = reached ? call : withoutLastAttempt(call);
-        if (mayRetry(board, counted, false, now)) {
+        final Optional<String> obstacle = retryObstacle(board, counted, false, now);
+        if (obstacle.isEmpty()) {
             return retry(board, counted, false, builder, new CallResult.NotRun(reached), now);
         }
         final CallInstruction instruction = call.mayHaveRun()
@@ -107,7 +106,7 @@
                         ErrorCode.NO_CAPACITY,
                         "the upstream did not take the request",
                         CallPlacement.returnDelay(call, now)));
-        return instruct(board, call, instruction, builder, new CallResult.NotRun(reached));
+        return instruct(board, call, instruction, builder, new CallResult.NotRun(reached), obstacle);
     }
 
     /** Subtracts an attempt that never reached its upstream, since such an attempt does not count as a send. */
@@ -115,12 +114,33 @@
         return call.with(call.attempts() - 1, call.tried(), call.promptReadyAt(), call.mayHaveRun(), call.phase());
     }
 
-    private static boolean mayRetry(final Blackboard board, final Call call, final boolean hasRun, final Instant now) {
-        return (!hasRun || call.route().kind().isRepeatable())
-                && call.attempts() < call.route().attemptLimit()
-                && (call.attempts() == 0
-                        || AllowanceShare.retryBudget(board, now).permitsRetry())
-                && now.isBefore(call.deadline());
+    /** Retries a call that may have run, or ends the call with the instruction if no retry is possible. */
+    private static Outcome<CallSection> retryOrInstruct(
+            final Blackboard board,
+            final Call call,
+            final CallInstruction otherwise,
+            final OutcomeBuilder builder,
+            final CallResult result,
+            final Instant now) {
+        final Optional<String> obstacle = retryObstacle(board, call, true, now);
+        return obstacle.isEmpty()
+                ? retry(board, call, true, builder, result, now)
+                : instruct(board, call, otherwise, builder, result, obstacle);
+    }
+
+    /** Returns why a call cannot be sent again, for the log; empty if it can. */
+    private static Optional<String> retryObstacle(
+            final Blackboard board, final Call call, final boolean hasRun, final Instant now) {
+        if (hasRun && !call.route().kind().isRepeatable()) {
+            return Optional.of("not repeatable");
+        }
+        if (call.attempts() >= call.route().attemptLimit()) {
+            return Optional.of("attempt limit");
+        }
+        if (call.attempts() > 0 && !AllowanceShare.retryBudget(board, now).permitsRetry()) {
+            return Optional.of("retry budget spent");
+        }
+        return now.isBefore(call.deadline()) ? Optional.empty() : Optional.of("deadline");
     }
 
     private static Outcome<CallSection> retry(
@@ -156,12 +176,14 @@
             final Call call,
             final CallInstruction instruction,
             final OutcomeBuilder builder,
-            final CallResult result) {
+            final CallResult result,
+            final Optional<String> retryObstacle) {
         builder.add(new Effect.Log(Decision.on(
                 "answer",
                 call.parameters().request(),
                 outcomeText(instruction),
                 Input.of("result", result),
+                Input.of("no_retry", retryObstacle.orElse("none")),
                 Input.of("attempts", call.attempts()),
                 Input.of("tried", call.tried()))));
         builder.add(new Effect.InstructCall(call.parameters().request(), instruction));
--- a/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
@@ -111,10 +111,14 @@
         channel.close();
     }
 
-    /** Fails the exchange after a read timeout and closes the idle connections to the same address. */
-    void timeOut() {
+    /**
+     * Fails the exchange after a read timeout and closes the idle connections to the same address.
+     *
+     * @param silence the time since the last progress of the response, not null
+     */
+    void timeOut(final Duration silence) {
         pool.closeIdle(address);
-        fail(true, "the upstream sent nothing");
+        fail(true, "the upstream sent nothing for " + silence.toMillis() + " ms");
     }
 
     /**
--- a/src/main/java/org/lacewingstep/upstream/UpstreamExchange.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamExchange.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.upstream;
 
+import java.time.Duration;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -174,7 +175,7 @@
         final long stallTimeoutNanos = request.stallTimeout().toNanos();
         final long readTimeoutNanos = request.readTimeout().toNanos();
         if (elapsedNanos >= readTimeoutNanos) {
-            connection.timeOut();
+            connection.timeOut(Duration.ofNanos(elapsedNanos));
         } else if (elapsedNanos >= stallTimeoutNanos && !stallReported) {
             stallReported = true;
             listener.accept(new ExchangeEvent.Stalled());
