Show that a pausing stream is cut when its key is withdrawn

Callers saw a stream end without its last event beside a change of the routing document. Both tests fail on the code as it is: over sockets, an upstream that pauses for a second between two events loses its connection after 0.7 s, and as the key was withdrawn meanwhile, the caller's connection is closed after the first event; on the controllers, a begun stream whose attempt broke off is failed in place of being resumed.

--- a/src/test/java/org/lacewingstep/command/PlatformProcessTest.java
+++ b/src/test/java/org/lacewingstep/command/PlatformProcessTest.java
@@ -180,6 +180,27 @@
         assertThat(first.requests().size() + second.requests().size()).isEqualTo(2);
     }
 
+    @Test
+    void pausingStreamIsNotCutWhenItsKeyIsWithdrawn() throws Exception {
+        first.setScript(Script.EVENTS_WITH_PAUSE);
+        second.setScript(Script.EVENTS_WITH_PAUSE);
+        store.put("servers/i-2", UPSTREAM.formatted(second.port()));
+        await(() -> registry().contains("i-2"));
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPort)) {
+            socket.setSoTimeout((int) TIMEOUT.toMillis());
+            socket.getOutputStream().write(closingRequest("stream").getBytes(StandardCharsets.US_ASCII));
+            await(() -> first.requests().size() + second.requests().size() == 1);
+            writeTable("new");
+
+            assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .contains(ScriptedUpstream.EVENT_1)
+                    .contains(ScriptedUpstream.EVENT_2)
+                    .endsWith("0\r\n\r\n");
+        } finally {
+            writeTable("k");
+        }
+    }
+
     @Test
     void streamThatCannotResumeHasNoFinalChunk() throws Exception {
         first.setScript(Script.EVENTS_CUT_UNLESS_RESUMED);
@@ -193,8 +214,7 @@
     void streamEndsWithFinalChunkEvenIfTheConnectionCloses() throws Exception {
         first.setScript(Script.EVENTS);
 
-        final String response =
-                exchange(requestHead("stream").replace("Deadline-Ms", "Connection: close\r\nDeadline-Ms"));
+        final String response = exchange(closingRequest("stream"));
 
         assertThat(response).containsIgnoringCase("transfer-encoding: chunked").endsWith("0\r\n\r\n");
     }
@@ -268,6 +288,10 @@
                 + "Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n";
     }
 
+    private static String closingRequest(final String route) {
+        return requestHead(route).replace("Deadline-Ms", "Connection: close\r\nDeadline-Ms");
+    }
+
     private static String exchangeRaw(final String route) throws IOException {
         return exchange(requestHead(route));
     }
--- a/src/test/java/org/lacewingstep/command/ScriptedUpstream.java
+++ b/src/test/java/org/lacewingstep/command/ScriptedUpstream.java
@@ -29,6 +29,9 @@
     private static final long BYTE_INTERVAL_MILLISECONDS = 100;
     private static final int EVENT_BYTES = 64 * 1024;
 
+    /** Pause of a sound stream between two events. */
+    private static final long PAUSE_MILLISECONDS = 1000;
+
     private final AtomicLong endlessBytes = new AtomicLong();
     private final AtomicInteger endlessResponses = new AtomicInteger();
     private final List<SocketRequest> requests = new CopyOnWriteArrayList<>();
@@ -64,7 +67,8 @@
         ENDLESS_EVENT,
         EVENT_BYTE_BY_BYTE,
         LARGE_BODY,
-        MANY_EVENTS
+        MANY_EVENTS,
+        EVENTS_WITH_PAUSE
     }
 
     @Override
@@ -138,6 +142,11 @@
                     write(output, sealed + "Transfer-Encoding: chunked\r\n\r\n" + chunk(EVENT_1 + "id: 2\nda"));
                 }
             }
+            case EVENTS_WITH_PAUSE -> {
+                write(output, sealed + "Transfer-Encoding: chunked\r\n\r\n" + chunk(EVENT_1));
+                pause(PAUSE_MILLISECONDS);
+                write(output, chunk(EVENT_2) + "0\r\n\r\n");
+            }
             case NO_RESPONSE -> socket.getInputStream().read();
             case LARGE_BODY -> write(output, sealed + "Content-Length: " + LARGE + "\r\n\r\n" + "x".repeat(LARGE));
             case MANY_EVENTS -> {
@@ -176,7 +185,7 @@
                 write(output, chunked + chunk(EVENT_1));
                 while (true) {
                     write(output, chunk("x"));
-                    pause();
+                    pause(BYTE_INTERVAL_MILLISECONDS);
                 }
             }
             default -> throw new IllegalStateException("unknown script: " + script);
@@ -191,9 +200,9 @@
         }
     }
 
-    private static void pause() throws IOException {
+    private static void pause(final long milliseconds) throws IOException {
         try {
-            Thread.sleep(BYTE_INTERVAL_MILLISECONDS);
+            Thread.sleep(milliseconds);
         } catch (final InterruptedException interruption) {
             throw new IOException(interruption);
         }
--- a/src/test/java/org/lacewingstep/controller/CallControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/CallControllerTest.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.controller;
 
 import java.time.Duration;
+import java.util.Map;
 
 import org.junit.jupiter.api.Test;
 import org.lacewingstep.blackboard.CallInstruction;
@@ -80,6 +81,19 @@
         assertThat(site.lastInstruction(request)).isEqualTo(new CallInstruction.ForwardFailure());
     }
 
+    @Test
+    void begunStreamIsResumedAfterItsKeyWasWithdrawn() {
+        final RequestIdentifier request = site.call("/stream/x");
+        final Send first = site.lastSend(request);
+        site.changeStore(new StoreChange.TableWritten(SiteFixture.table(2, 1_000_000, Map.of()), 2));
+
+        site.endAttempt(request, new CallResult.Broken(false, true));
+
+        assertThat(site.lastInstruction(request)).isInstanceOfSatisfying(Send.class, next -> assertThat(
+                        next.upstream().name())
+                .isNotEqualTo(first.upstream().name()));
+    }
+
     @Test
     void callFailsAtItsDeadline() {
         final RequestIdentifier request = site.call("/post/x");
