Keep the attempt at a silent upstream until the call can be sent elsewhere

Callers saw streams close without an answer, beside changes of the routing document more often than at other times. An upstream that sent nothing for three quarters of the latency target (0.7 s) lost its connection, though a sound engine may pause for about a second; what followed was then up to the retry: without an attempt, without budget, with a key withdrawn or with no engine that had memory, the stream that had been fine was lost. A timeout ended work before anything stood ready to replace it; a reload of routes and keys is when replacements fail most.

The exchange now reports the silence and goes on. The controller looks for another upstream and reserves memory there (phase Replacing); only when the call is sent again is the silent attempt ended. A stream that has begun may pause for 1.5 s before that. What is not replaced goes on until the deadline.

--- a/src/main/java/org/lacewingstep/blackboard/CallInstruction.java
+++ b/src/main/java/org/lacewingstep/blackboard/CallInstruction.java
@@ -30,7 +30,10 @@
      * @param usesKeptPrompt whether the prompt was processed for an earlier attempt and the result is still kept
      * @param team the caller's team, empty on an open route
      * @param deadline latest time for the complete response, not null
-     * @param readTimeout time without data from the upstream after which the attempt is abandoned, not null
+     * @param responseTimeout time without progress before the response begins after which the call may be sent
+     *     elsewhere, not null
+     * @param pauseTimeout time without progress of a begun response after which the call may be sent elsewhere, not
+     *     null
      * @param streams whether the response is a stream of events
      * @param connectionLimit maximum number of connections of this instance to one upstream
      */
@@ -41,7 +44,8 @@
             boolean usesKeptPrompt,
             Optional<TeamName> team,
             Instant deadline,
-            Duration readTimeout,
+            Duration responseTimeout,
+            Duration pauseTimeout,
             boolean streams,
             int connectionLimit)
             implements CallInstruction {}
--- a/src/main/java/org/lacewingstep/blackboard/CallSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/CallSection.java
@@ -130,5 +130,14 @@
          * @param prefill the upstream that processes the prompt, empty if the responding upstream does
          */
         record Sent(int attempt, UpstreamName upstream, Optional<UpstreamName> prefill) implements CallPhase {}
+
+        /**
+         * The response to an attempt makes no progress, and memory is being reserved at another upstream to retry the
+         * call there; the attempt continues until the call is sent again.
+         *
+         * @param stalled the attempt that continues, not null
+         * @param replacement the upstream at which memory is being reserved, not null
+         */
+        record Replacing(Sent stalled, UpstreamName replacement) implements CallPhase {}
     }
 }
--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -362,8 +362,10 @@
      * An upstream has sent nothing for longer than usual; the attempt continues.
      *
      * @param upstream the upstream, not null
+     * @param attempt the attempt, not null
+     * @param replaceable whether the call may be sent elsewhere by now
      */
-    record UpstreamStalled(UpstreamName upstream) implements Event {}
+    record UpstreamStalled(UpstreamName upstream, AttemptIdentifier attempt, boolean replaceable) implements Event {}
 
     /**
      * A call is being sent to an upstream and occupies memory there.
--- a/src/main/java/org/lacewingstep/controller/CallCompletion.java
+++ b/src/main/java/org/lacewingstep/controller/CallCompletion.java
@@ -61,8 +61,7 @@
         final OutcomeBuilder builder = new OutcomeBuilder();
         final CallResult result = new CallResult.Broken(true, false);
         releaseUpstreams(call, Optional.of(result), builder);
-        final boolean sent = call.phase() instanceof CallPhase.Sent || call.mayHaveRun();
-        final CallInstruction instruction = sent
+        final CallInstruction instruction = isSent(call) || call.mayHaveRun()
                 ? new CallInstruction.Fail(ErrorCode.DEADLINE_EXCEEDED, "no answer before the deadline")
                 : new CallInstruction.Refuse(
                         Refusal.of(ErrorCode.NO_CAPACITY, "no upstream was free before the deadline"));
@@ -81,14 +80,41 @@
             case CallPhase.Queued queued -> {}
             case CallPhase.Reserving(var upstream, Instant until) ->
                 builder.add(new Event.UpstreamReleased(upstream, call.tokens(), Optional.empty()));
-            case CallPhase.Sent(int attempt, var upstream, var prefill) -> {
-                builder.add(new Event.UpstreamReleased(upstream, call.tokens(), result));
-                prefill.ifPresent(
-                        name -> builder.add(new Event.UpstreamReleased(name, call.tokens(), Optional.empty())));
+            case CallPhase.Sent sent -> releaseAttempt(call, sent, result, builder);
+            case CallPhase.Replacing(CallPhase.Sent stalled, var replacement) -> {
+                releaseAttempt(call, stalled, result, builder);
+                builder.add(new Event.UpstreamReleased(replacement, call.tokens(), Optional.empty()));
             }
         }
     }
 
+    /**
+     * Posts an event for each upstream that an attempt occupies.
+     *
+     * @param call the call, not null
+     * @param attempt the attempt, not null
+     * @param result the result of the attempt, empty if the caller abandoned the call
+     * @param builder collects the events, not null
+     */
+    static void releaseAttempt(
+            final Call call,
+            final CallPhase.Sent attempt,
+            final Optional<CallResult> result,
+            final OutcomeBuilder builder) {
+        builder.add(new Event.UpstreamReleased(attempt.upstream(), call.tokens(), result));
+        attempt.prefill()
+                .ifPresent(name -> builder.add(new Event.UpstreamReleased(name, call.tokens(), Optional.empty())));
+    }
+
+    private static boolean isSent(final Call call) {
+        return switch (call.phase()) {
+            case CallPhase.Sent sent -> true;
+            case CallPhase.Replacing replacing -> true;
+            case CallPhase.Queued queued -> false;
+            case CallPhase.Reserving reserving -> false;
+        };
+    }
+
     private static Outcome<CallSection> handleNotRun(
             final Blackboard board,
             final Call call,
@@ -128,8 +154,16 @@
                 : instruct(board, call, otherwise, builder, result, obstacle);
     }
 
-    /** Returns why a call cannot be sent again, for the log; empty if it can. */
-    private static Optional<String> retryObstacle(
+    /**
+     * Returns why a call cannot be sent again.
+     *
+     * @param board the blackboard, not null
+     * @param call the call, not null
+     * @param hasRun whether an upstream may have started to run the call
+     * @param now the present time, not null
+     * @return the reason, for the log; empty if the call can be sent again
+     */
+    static Optional<String> retryObstacle(
             final Blackboard board, final Call call, final boolean hasRun, final Instant now) {
         if (hasRun && !call.route().kind().isRepeatable()) {
             return Optional.of("not repeatable");
--- a/src/main/java/org/lacewingstep/controller/CallController.java
+++ b/src/main/java/org/lacewingstep/controller/CallController.java
@@ -19,6 +19,7 @@
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.UpstreamName;
@@ -40,6 +41,11 @@
                         .filter(call -> isCurrentAttempt(call, attempt))
                         .map(call -> CallCompletion.endAttempt(board, call, result, now))
                         .orElseGet(() -> unchanged(board));
+            case Event.UpstreamStalled(var upstream, AttemptIdentifier attempt, boolean replaceable) ->
+                find(board, attempt.request())
+                        .filter(call -> replaceable && isCurrentAttempt(call, attempt.number()))
+                        .map(call -> CallPlacement.replaceStalledAttempt(board, call, now))
+                        .orElseGet(() -> unchanged(board));
             case Event.PrefillEnded(RequestIdentifier request, int attempt, CallResult result) ->
                 find(board, request)
                         .filter(call -> isCurrentAttempt(call, attempt))
@@ -161,12 +167,21 @@
     }
 
     private static boolean isCurrentAttempt(final Call call, final int attempt) {
-        return call.phase() instanceof CallPhase.Sent sent && sent.attempt() == attempt;
+        return switch (call.phase()) {
+            case CallPhase.Sent sent -> sent.attempt() == attempt;
+            case CallPhase.Replacing(CallPhase.Sent stalled, var replacement) -> stalled.attempt() == attempt;
+            case CallPhase.Queued queued -> false;
+            case CallPhase.Reserving reserving -> false;
+        };
     }
 
     private static boolean isReservingAt(final Call call, final UpstreamName upstream) {
-        return call.phase() instanceof CallPhase.Reserving(UpstreamName reservingAt, var until)
-                && reservingAt.equals(upstream);
+        return switch (call.phase()) {
+            case CallPhase.Reserving(UpstreamName reservingAt, var until) -> reservingAt.equals(upstream);
+            case CallPhase.Replacing(var stalled, UpstreamName replacement) -> replacement.equals(upstream);
+            case CallPhase.Queued queued -> false;
+            case CallPhase.Sent sent -> false;
+        };
     }
 
     private static Optional<Call> find(final Blackboard board, final RequestIdentifier request) {
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -22,7 +22,6 @@
 import org.lacewingstep.domain.FailureDomainName;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RouteKind;
-import org.lacewingstep.domain.ServiceLimits;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
 import org.lacewingstep.error.ErrorCode;
@@ -42,17 +41,14 @@
     /** How long a processed prompt is reused; shorter than the 500 ms for which an upstream keeps the prompt. */
     private static final Duration PROMPT_REUSE_PERIOD = Duration.ofMillis(350);
 
-    /** Fraction of the latency target without data from the upstream after which a retryable attempt times out. */
+    /** Fraction of the latency target without data from the upstream after which an attempt may be replaced. */
     private static final double RESPONSE_TIMEOUT_FRACTION = 0.75;
 
-    /** Shortest time without data from the upstream after which a retryable attempt times out. */
+    /** Shortest time without data from the upstream after which an attempt may be replaced. */
     private static final Duration MIN_RESPONSE_TIMEOUT = Duration.ofMillis(500);
 
-    /** Longest lifetime of a reservation: the longest time to process and transfer a prompt, plus a margin. */
-    private static final Duration MAX_RESERVATION_LIFETIME = Duration.ofMillis(1200);
-
-    /** Fraction of the permitted output tokens for which memory is reserved. */
-    private static final double RESERVED_OUTPUT_FRACTION = 0.5;
+    /** Longest pause of a stream from a sound engine; callers abandon a stream after two seconds at the earliest. */
+    private static final Duration PAUSE_TIMEOUT = Duration.ofMillis(1500);
 
     /** Least time before the deadline at which an attempt is still started. */
     private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(30);
@@ -96,15 +92,90 @@
     static Outcome<CallSection> handleReservationResult(
             final Blackboard board, final Call call, final CallResult result, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
-        if (!(call.phase() instanceof CallPhase.Reserving(UpstreamName name, Instant until))) {
+        return switch (call.phase()) {
+            case CallPhase.Reserving(UpstreamName name, Instant until) -> {
+                final Optional<RegisteredUpstream> upstream = UpstreamChoice.findRegistered(board, name);
+                if (result instanceof CallResult.Served
+                        && upstream.isPresent()
+                        && CallAdmission.mayStillRun(board, call, now)) {
+                    yield send(board, call, upstream.get(), builder, now);
+                }
+                rejectReservation(board, call, name, result, builder, now);
+                yield queue(board, call.withPhase(new CallPhase.Queued(until)), builder, now);
+            }
+            case CallPhase.Replacing(CallPhase.Sent stalled, UpstreamName name) -> {
+                final Optional<RegisteredUpstream> upstream = UpstreamChoice.findRegistered(board, name);
+                if (result instanceof CallResult.Served
+                        && upstream.isPresent()
+                        && CallCompletion.retryObstacle(board, call, true, now).isEmpty()) {
+                    yield sendReplacement(board, call, stalled, upstream.get(), builder, now);
+                }
+                rejectReservation(board, call, name, result, builder, now);
+                yield builder.outcome(CallController.with(board.serving().calls(), call.withPhase(stalled)));
+            }
+            case CallPhase.Queued queued -> builder.outcome(board.serving().calls());
+            case CallPhase.Sent sent -> builder.outcome(board.serving().calls());
+        };
+    }
+
+    /**
+     * Starts to replace an attempt whose response makes no progress. The attempt continues until the call can be sent
+     * elsewhere, since the silent upstream may be sound.
+     *
+     * @param board the blackboard, not null
+     * @param call the call, in phase {@code Sent} or {@code Replacing}, not null
+     * @param now the present time, not null
+     * @return the updated section with the resulting effects and events, never null
+     */
+    static Outcome<CallSection> replaceStalledAttempt(final Blackboard board, final Call call, final Instant now) {
+        final OutcomeBuilder builder = new OutcomeBuilder();
+        if (!(call.phase() instanceof CallPhase.Sent stalled)
+                || CallCompletion.retryObstacle(board, call, true, now).isPresent()) {
             return builder.outcome(board.serving().calls());
         }
-        final Optional<RegisteredUpstream> upstream = UpstreamChoice.findRegistered(board, name);
-        if (result instanceof CallResult.Served
-                && upstream.isPresent()
-                && CallAdmission.mayStillRun(board, call, now)) {
-            return send(board, call, upstream.get(), builder, now);
+        final FailureDomainName ownDomain = board.serving().site().bounds().failureDomain();
+        final Optional<RegisteredUpstream> chosen =
+                UpstreamChoice.choose(board, call, RESPONDING_ROLES, ownDomain, now);
+        if (chosen.isEmpty()) {
+            return builder.outcome(board.serving().calls());
+        }
+        final RegisteredUpstream replacement = chosen.get();
+        builder.add(new Event.UpstreamOccupied(replacement, call.tokens()));
+        if (!ReservationRequest.isNeeded(board, call, replacement)) {
+            return sendReplacement(board, call, stalled, replacement, builder, now);
         }
+        builder.add(ReservationRequest.create(board, call, replacement));
+        return builder.outcome(CallController.with(
+                board.serving().calls(), call.withPhase(new CallPhase.Replacing(stalled, replacement.name()))));
+    }
+
+    /** Ends a stalled attempt and sends the call to another upstream; a stream continues there. */
+    private static Outcome<CallSection> sendReplacement(
+            final Blackboard board,
+            final Call call,
+            final CallPhase.Sent stalled,
+            final RegisteredUpstream replacement,
+            final OutcomeBuilder builder,
+            final Instant now) {
+        final CallResult result = new CallResult.Broken(true, false);
+        CallCompletion.releaseAttempt(call, stalled, Optional.of(result), builder);
+        builder.add(new Effect.Log(Decision.on(
+                "attempt",
+                call.parameters().request(),
+                "sent again",
+                Input.of("result", result),
+                Input.of("attempts", call.attempts()))));
+        final Call replaced = call.with(call.attempts(), call.tried(), Optional.empty(), true, stalled);
+        return send(board, replaced, replacement, builder, now);
+    }
+
+    private static void rejectReservation(
+            final Blackboard board,
+            final Call call,
+            final UpstreamName name,
+            final CallResult result,
+            final OutcomeBuilder builder,
+            final Instant now) {
         builder.add(new Event.UpstreamReleased(name, call.tokens(), Optional.of(result)));
         builder.add(new Effect.Log(Decision.on(
                 "reservation",
@@ -113,7 +184,6 @@
                 Input.of("upstream", name),
                 Input.of("result", result),
                 Input.of("running", board.serving().use(name, now)))));
-        return queue(board, call.withPhase(new CallPhase.Queued(until)), builder, now);
     }
 
     /** Adds the call to the load reported to all instances, then reserves memory at the upstream or sends the call. */
@@ -124,40 +194,15 @@
             final OutcomeBuilder builder,
             final Instant now) {
         builder.add(new Event.UpstreamOccupied(upstream, call.tokens()));
-        final ServiceLimits service =
-                board.serving().routing().table().services().get(call.service());
-        if (upstream.role() != UpstreamRole.DECODE
-                || service == null
-                || service.reservationLimit().isZero()
-                || !(call.phase() instanceof CallPhase.Queued(Instant until))) {
+        if (!(call.phase() instanceof CallPhase.Queued(Instant until))
+                || !ReservationRequest.isNeeded(board, call, upstream)) {
             return send(board, call, upstream, builder, now);
         }
-        final Duration lifetime = service.reservationLimit().compareTo(MAX_RESERVATION_LIFETIME) < 0
-                ? service.reservationLimit()
-                : MAX_RESERVATION_LIFETIME;
-        builder.add(new Effect.InstructCall(
-                call.parameters().request(),
-                new CallInstruction.Reserve(upstream, reservedTokens(call), lifetime, connectionLimit(board, call))));
+        builder.add(ReservationRequest.create(board, call, upstream));
         return builder.outcome(CallController.with(
                 board.serving().calls(), call.withPhase(new CallPhase.Reserving(upstream.name(), until))));
     }
 
-    /** Computes the memory to reserve: the prompt has to fit at once, the output grows while other requests end. */
-    private static long reservedTokens(final Call call) {
-        return call.parameters()
-                .tokens()
-                .map(size -> size.prompt() + (long) (size.output() * RESERVED_OUTPUT_FRACTION))
-                .orElse(0L);
-    }
-
-    private static int connectionLimit(final Blackboard board, final Call call) {
-        final ServiceLimits service =
-                board.serving().routing().table().services().get(call.service());
-        return service == null
-                ? 1
-                : Math.max(1, service.connectionLimit() / board.serving().site().instances());
-    }
-
     /**
      * Computes how long a call may wait for an upstream.
      *
@@ -299,9 +344,10 @@
                 promptKept,
                 call.team(),
                 call.deadline(),
-                responseTimeout(call, attempt, now),
+                retryTimeout(call, attempt, responseTimeout(call), now),
+                retryTimeout(call, attempt, PAUSE_TIMEOUT, now),
                 call.route().kind() instanceof RouteKind.EventStream,
-                connectionLimit(board, call));
+                ReservationRequest.connectionLimit(board, call));
     }
 
     private static Optional<RegisteredUpstream> choosePrefill(
@@ -312,15 +358,18 @@
         return UpstreamChoice.choose(board, call, Set.of(UpstreamRole.PREFILL), upstream.failureDomain(), now);
     }
 
-    private static Duration responseTimeout(final Call call, final int attempt, final Instant now) {
+    /** Limits the time without progress after which an attempt is replaced to the time that remains. */
+    private static Duration retryTimeout(
+            final Call call, final int attempt, final Duration timeout, final Instant now) {
         final Duration remaining = Duration.between(now, call.deadline());
-        if (!call.route().kind().isRepeatable() || attempt >= call.route().attemptLimit()) {
-            return remaining;
-        }
+        final boolean retryable =
+                call.route().kind().isRepeatable() && attempt < call.route().attemptLimit();
+        return retryable && timeout.compareTo(remaining) < 0 ? timeout : remaining;
+    }
+
+    private static Duration responseTimeout(final Call call) {
         final Duration targetFraction =
                 Duration.ofNanos((long) (call.route().latencyTarget().toNanos() * RESPONSE_TIMEOUT_FRACTION));
-        final Duration limit =
-                targetFraction.compareTo(MIN_RESPONSE_TIMEOUT) > 0 ? targetFraction : MIN_RESPONSE_TIMEOUT;
-        return limit.compareTo(remaining) < 0 ? limit : remaining;
+        return targetFraction.compareTo(MIN_RESPONSE_TIMEOUT) > 0 ? targetFraction : MIN_RESPONSE_TIMEOUT;
     }
 }
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -62,7 +62,7 @@
                 scheduleBroadcast(board, withRequestStarted(section, upstream, tokens, now), now);
             case Event.UpstreamReleased(UpstreamName name, long tokens, Optional<CallResult> result) ->
                 scheduleBroadcast(board, withRequestEnded(section, name, tokens, result, now), now);
-            case Event.UpstreamStalled(UpstreamName name) ->
+            case Event.UpstreamStalled(UpstreamName name, var attempt, boolean replaceable) ->
                 Outcome.of(with(section, name, section.of(name).withBackOff(now.plus(STALL_BACKOFF))));
             case Event.TimerFired(TimerKey.LoadBroadcast()) -> broadcast(board, now);
             case Event.PeerLoadReported(Incarnation sender, PeerMessage.SiteLoad load) ->
--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -12,12 +12,14 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import org.lacewingstep.blackboard.CallInstruction;
 import org.lacewingstep.blackboard.CallInstruction.Reserve;
 import org.lacewingstep.blackboard.CallInstruction.Send;
 import org.lacewingstep.blackboard.CallResult;
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Refusal;
+import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.PeerAddress;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
@@ -54,8 +56,6 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(CallSession.class);
     private static final int HTTP_OK = 200;
-    private static final int SUCCESS_CLASS = 2;
-    private static final int STATUSES_PER_CLASS = 100;
 
     private final OpenCalls openCalls;
     private final Channel channel;
@@ -106,10 +106,8 @@
         if (ended) {
             return;
         }
-        ended = true;
-        releaseResources();
         openCalls.post(new Event.CallAbandoned(request));
-        openCalls.close(request, 0, Duration.between(receivedAt, openCalls.now()));
+        end(0);
     }
 
     /**
@@ -156,6 +154,9 @@
 
     private void send(final Send instruction) {
         currentAttempt = instruction;
+        if (exchange != null) {
+            exchange.cancelStalled();
+        }
         if (instruction.prefill().isPresent()) {
             sendPrefill(instruction, instruction.prefill().get());
         } else {
@@ -166,14 +167,20 @@
     private void sendPrefill(final Send instruction, final RegisteredUpstream upstream) {
         final HttpHeaders headers = openCalls.protocol().prefillHeaders(callerRequest, instruction, openCalls.now());
         exchange = pool.send(
-                exchangeRequest(instruction, upstream.address(), headers, new ResponseForm.ToRouter(), PREFILL_TIMEOUT),
+                exchangeRequest(
+                        instruction,
+                        upstream.address(),
+                        headers,
+                        new ResponseForm.ToRouter(),
+                        PREFILL_TIMEOUT,
+                        PREFILL_TIMEOUT),
                 new ResponseCollector(
                         response -> handlePrefillResponse(instruction, upstream.address(), response),
                         failed -> {
                             recordFailure(upstream, failed);
                             continueWithoutPrefill(instruction, toResult(failed));
                         },
-                        () -> openCalls.post(new Event.UpstreamStalled(upstream.name()))));
+                        () -> postStall(instruction, upstream, false)));
     }
 
     private void handlePrefillResponse(
@@ -220,7 +227,8 @@
                         instruction.upstream().address(),
                         headers,
                         instruction.streams() ? new ResponseForm.Streamed() : new ResponseForm.Collected(),
-                        instruction.readTimeout()),
+                        instruction.responseTimeout(),
+                        Duration.between(openCalls.now(), instruction.deadline())),
                 event -> handleExchangeEvent(instruction, event));
     }
 
@@ -229,6 +237,7 @@
             final PeerAddress address,
             final HttpHeaders headers,
             final ResponseForm form,
+            final Duration retryTimeout,
             final Duration readTimeout) {
         return new ExchangeRequest(
                 address,
@@ -239,6 +248,7 @@
                 response -> openCalls.protocol().belongsToRequest(callerRequest, response),
                 form,
                 STALL_TIMEOUT,
+                retryTimeout,
                 readTimeout,
                 instruction.connectionLimit());
     }
@@ -247,8 +257,8 @@
         switch (event) {
             case ExchangeEvent.Head(HttpResponse response) -> handleHead(instruction, response);
             case ExchangeEvent.Body(ByteBuf content) -> handleBody(instruction, content);
-            case ExchangeEvent.Stalled() ->
-                openCalls.post(new Event.UpstreamStalled(instruction.upstream().name()));
+            case ExchangeEvent.Stalled(Duration silence) ->
+                postStall(instruction, instruction.upstream(), silence.compareTo(stallLimit(instruction)) >= 0);
             case ExchangeEvent.Complete() -> complete(instruction);
             case ExchangeEvent.Failed failed -> {
                 recordFailure(instruction.upstream(), failed);
@@ -257,6 +267,15 @@
         }
     }
 
+    private Duration stallLimit(final Send instruction) {
+        return stream == null ? instruction.responseTimeout() : instruction.pauseTimeout();
+    }
+
+    private void postStall(final Send instruction, final RegisteredUpstream upstream, final boolean replaceable) {
+        openCalls.post(new Event.UpstreamStalled(
+                upstream.name(), new AttemptIdentifier(request, instruction.attempt()), replaceable));
+    }
+
     private void handleHead(final Send instruction, final HttpResponse response) {
         responseHead = response;
         if (openCalls.protocol().classify(response) instanceof ResponseKind.Unusable(String reason)) {
@@ -277,7 +296,8 @@
                 breakAttempt(instruction, "an event is too long");
             }
         } else {
-            append(responseBody, content);
+            responseBody.writeBytes(ByteBufUtil.getBytes(content));
+            content.release();
         }
     }
 
@@ -288,7 +308,7 @@
     }
 
     private boolean isSuccess() {
-        return responseHead.status().code() / STATUSES_PER_CLASS == SUCCESS_CLASS;
+        return responseHead.status().codeClass() == HttpStatusClass.SUCCESS;
     }
 
     private void forward(final ByteBuf events) {
@@ -328,8 +348,7 @@
             return;
         }
         postAttemptEnd(instruction, new CallResult.Served());
-        ended = true;
-        openCalls.close(request, responseHead.status().code(), Duration.between(receivedAt, openCalls.now()));
+        end(responseHead.status().code());
         stream.complete();
     }
 
@@ -341,9 +360,7 @@
         if (ended) {
             return;
         }
-        ended = true;
-        releaseResources();
-        openCalls.close(request, response.status(), Duration.between(receivedAt, openCalls.now()));
+        end(response.status());
         if (stream != null) {
             stream.abort();
         } else {
@@ -372,15 +389,12 @@
                 .log("exchange failed: {}", failed.reason());
     }
 
-    private void releaseResources() {
+    private void end(final int status) {
+        ended = true;
         reservation.release();
         if (exchange != null) {
             exchange.cancel();
         }
-    }
-
-    private static void append(final ByteArrayOutputStream body, final ByteBuf content) {
-        body.writeBytes(ByteBufUtil.getBytes(content));
-        content.release();
+        openCalls.close(request, status, Duration.between(receivedAt, openCalls.now()));
     }
 }
--- a/src/main/java/org/lacewingstep/upstream/ExchangeEvent.java
+++ b/src/main/java/org/lacewingstep/upstream/ExchangeEvent.java
@@ -1,5 +1,7 @@
 package org.lacewingstep.upstream;
 
+import java.time.Duration;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
@@ -23,11 +25,13 @@
     record Complete() implements ExchangeEvent {}
 
     /**
-     * The upstream has sent nothing within {@link ExchangeRequest#stallTimeout()}; the exchange continues.
+     * The response has made no progress within {@link ExchangeRequest#stallTimeout()}; the exchange continues.
+     *
+     * <p>Reported again after {@link ExchangeRequest#retryTimeout()}, and then repeatedly until there is progress.
      *
-     * <p>Reported at most once per exchange.
+     * @param silence the time since the last progress, not null
      */
-    record Stalled() implements ExchangeEvent {}
+    record Stalled(Duration silence) implements ExchangeEvent {}
 
     /**
      * The exchange ended without a complete response.
--- a/src/main/java/org/lacewingstep/upstream/ExchangeRequest.java
+++ b/src/main/java/org/lacewingstep/upstream/ExchangeRequest.java
@@ -18,7 +18,9 @@
  * @param body the body, empty for none, not null
  * @param responseFilter accepts the responses that belong to this request; other responses are skipped, not null
  * @param form what the response is used for, not null
- * @param stallTimeout the time without received data after which {@link ExchangeEvent.Stalled} is reported, not null
+ * @param stallTimeout the time without progress after which {@link ExchangeEvent.Stalled} is reported, not null
+ * @param retryTimeout the time without progress after which {@link ExchangeEvent.Stalled} is reported again, so that
+ *     the request can be sent elsewhere, not null
  * @param readTimeout the time without progress after which the exchange fails, not null
  * @param connectionLimit the maximum number of open connections from one event loop to the address
  */
@@ -31,5 +33,45 @@
         Predicate<HttpResponse> responseFilter,
         ResponseForm form,
         Duration stallTimeout,
+        Duration retryTimeout,
         Duration readTimeout,
-        int connectionLimit) {}
+        int connectionLimit) {
+    /**
+     * Creates a request that is not retried while it runs.
+     *
+     * @param address the upstream's address, not null
+     * @param method the HTTP method, not null
+     * @param uri the path and the query, not null
+     * @param headers the headers except Content-Length and Transfer-Encoding, not null
+     * @param body the body, empty for none, not null
+     * @param responseFilter accepts the responses that belong to this request; other responses are skipped, not null
+     * @param form what the response is used for, not null
+     * @param stallTimeout the time without progress after which {@link ExchangeEvent.Stalled} is reported, not null
+     * @param readTimeout the time without progress after which the exchange fails, not null
+     * @param connectionLimit the maximum number of open connections from one event loop to the address
+     */
+    public ExchangeRequest(
+            final PeerAddress address,
+            final HttpMethod method,
+            final String uri,
+            final HttpHeaders headers,
+            final byte[] body,
+            final Predicate<HttpResponse> responseFilter,
+            final ResponseForm form,
+            final Duration stallTimeout,
+            final Duration readTimeout,
+            final int connectionLimit) {
+        this(
+                address,
+                method,
+                uri,
+                headers,
+                body,
+                responseFilter,
+                form,
+                stallTimeout,
+                readTimeout,
+                readTimeout,
+                connectionLimit);
+    }
+}
--- a/src/main/java/org/lacewingstep/upstream/ResponseCollector.java
+++ b/src/main/java/org/lacewingstep/upstream/ResponseCollector.java
@@ -37,7 +37,7 @@
         switch (event) {
             case ExchangeEvent.Head(HttpResponse response) -> head = response;
             case ExchangeEvent.Body(ByteBuf content) -> append(content);
-            case ExchangeEvent.Stalled() -> onStalled.run();
+            case ExchangeEvent.Stalled stalled -> onStalled.run();
             case ExchangeEvent.Complete() -> onComplete.accept(new CompleteResponse(head, body.toByteArray()));
             case ExchangeEvent.Failed failure -> onFailure.accept(failure);
         }
--- a/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
@@ -111,13 +111,18 @@
         channel.close();
     }
 
+    /** Closes the idle connections to the same address. */
+    void closeIdleNeighbors() {
+        pool.closeIdle(address);
+    }
+
     /**
      * Fails the exchange after a read timeout and closes the idle connections to the same address.
      *
      * @param silence the time since the last progress of the response, not null
      */
     void timeOut(final Duration silence) {
-        pool.closeIdle(address);
+        closeIdleNeighbors();
         fail(true, "the upstream sent nothing for " + silence.toMillis() + " ms");
     }
 
--- a/src/main/java/org/lacewingstep/upstream/UpstreamExchange.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamExchange.java
@@ -19,6 +19,9 @@
     /** Bytes of all responses that are being collected; a fraction of the heap of the smallest instance. */
     private static final long MAX_BYTES_OF_ALL_RESPONSES = 16 * 1024 * 1024;
 
+    /** Interval of the reports of a response that makes no progress, after its retry timeout. */
+    private static final long STALL_REPORT_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(250);
+
     private final AtomicLong bufferedBytes;
     private final Consumer<ExchangeEvent> listener;
     private final EventLoop loop;
@@ -29,7 +32,7 @@
     private long lastActivityNanos = System.nanoTime();
     private long ownBufferedBytes;
     private boolean paused;
-    private boolean stallReported;
+    private long nextStallReportNanos;
     private ScheduledFuture<?> timeoutCheck;
 
     /**
@@ -49,6 +52,7 @@
         this.loop = loop;
         this.request = request;
         this.listener = listener;
+        this.nextStallReportNanos = request.stallTimeout().toNanos();
     }
 
     /** Cancels the exchange and closes its connection, so that the upstream stops processing the request. */
@@ -61,6 +65,17 @@
         }
     }
 
+    /**
+     * Cancels an exchange whose response makes no progress, and closes the idle connections to its upstream, which may
+     * be as silent.
+     */
+    public void cancelStalled() {
+        if (!ended && connection != null) {
+            connection.closeIdleNeighbors();
+        }
+        cancel();
+    }
+
     /**
      * Resumes or pauses reading of the response; has no effect before a connection is assigned or after the end.
      *
@@ -77,6 +92,7 @@
     /** Restarts the timeouts, because the response has made progress. */
     public void restartTimeouts() {
         lastActivityNanos = System.nanoTime();
+        nextStallReportNanos = request.stallTimeout().toNanos();
     }
 
     /**
@@ -121,7 +137,7 @@
     void attach(final UpstreamConnection opened) {
         connection = opened;
         lastActivityNanos = System.nanoTime();
-        scheduleTimeoutCheck(request.stallTimeout().toNanos());
+        scheduleTimeoutCheck(0);
     }
 
     /**
@@ -159,8 +175,10 @@
         }
     }
 
-    private void scheduleTimeoutCheck(final long delayNanos) {
-        timeoutCheck = loop.schedule(this::checkTimeouts, delayNanos, TimeUnit.NANOSECONDS);
+    private void scheduleTimeoutCheck(final long elapsedNanos) {
+        final long nextNanos =
+                Math.min(nextStallReportNanos, request.readTimeout().toNanos());
+        timeoutCheck = loop.schedule(this::checkTimeouts, Math.max(1, nextNanos - elapsedNanos), TimeUnit.NANOSECONDS);
     }
 
     private void checkTimeouts() {
@@ -172,18 +190,19 @@
             restartTimeouts();
         }
         final long elapsedNanos = System.nanoTime() - lastActivityNanos;
-        final long stallTimeoutNanos = request.stallTimeout().toNanos();
-        final long readTimeoutNanos = request.readTimeout().toNanos();
-        if (elapsedNanos >= readTimeoutNanos) {
+        if (elapsedNanos >= request.readTimeout().toNanos()) {
             connection.timeOut(Duration.ofNanos(elapsedNanos));
-        } else if (elapsedNanos >= stallTimeoutNanos && !stallReported) {
-            stallReported = true;
-            listener.accept(new ExchangeEvent.Stalled());
-            scheduleTimeoutCheck(Math.max(1, readTimeoutNanos - elapsedNanos));
-        } else {
-            scheduleTimeoutCheck(Math.max(
-                    1,
-                    (stallReported ? readTimeoutNanos : Math.min(stallTimeoutNanos, readTimeoutNanos)) - elapsedNanos));
+            return;
+        }
+        if (elapsedNanos >= nextStallReportNanos) {
+            final long retryTimeoutNanos = request.retryTimeout().toNanos();
+            nextStallReportNanos = elapsedNanos < retryTimeoutNanos
+                    ? retryTimeoutNanos
+                    : elapsedNanos + STALL_REPORT_INTERVAL_NANOSECONDS;
+            listener.accept(new ExchangeEvent.Stalled(Duration.ofNanos(elapsedNanos)));
+        }
+        if (!ended) {
+            scheduleTimeoutCheck(elapsedNanos);
         }
     }
 }
--- a/src/test/java/org/lacewingstep/platform/PlatformProtocolTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformProtocolTest.java
@@ -224,6 +224,7 @@
                 Optional.of(new TeamName("weavers")),
                 NOW.plusSeconds(2),
                 Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
                 true,
                 4);
     }
