--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -28,9 +28,7 @@
 import org.lacewingstep.traffic.CallProtocol.ResponseKind;
 import org.lacewingstep.upstream.CompleteResponse;
 import org.lacewingstep.upstream.ExchangeEvent;
-import org.lacewingstep.upstream.ExchangeRequest;
 import org.lacewingstep.upstream.ResponseCollector;
-import org.lacewingstep.upstream.ResponseForm;
 import org.lacewingstep.upstream.UpstreamExchange;
 import org.lacewingstep.upstream.UpstreamPool;
 import org.slf4j.Logger;
@@ -42,15 +40,6 @@
  * event loop of the caller's connection.
  */
 final class CallSession {
-    /** Time without data after which an upstream is reported as stalled, so that other upstreams get new calls. */
-    private static final Duration STALL_TIMEOUT = Duration.ofMillis(500);
-
-    /**
-     * Timeout without data from a prefill upstream; after the timeout, the upstream that sends the response processes
-     * the prompt itself.
-     */
-    private static final Duration PREFILL_TIMEOUT = Duration.ofMillis(800);
-
     /** Longest event of a stream, in bytes, of which a part is kept until the rest arrives. */
     private static final int MAX_EVENT_BYTES = 256 * 1024;
 
@@ -65,6 +54,7 @@
     private final EventRelay relay;
     private final EngineReservation reservation;
     private final RequestIdentifier request;
+    private final ExchangeRequests requests;
 
     private Downstream<? super CallResponse> responseReceiver;
     private boolean ended;
@@ -97,6 +87,7 @@
         this.channel = channel;
         this.pool = pool;
         this.receivedAt = openCalls.now();
+        this.requests = new ExchangeRequests(openCalls, callerRequest);
         this.reservation = new EngineReservation(openCalls, pool, request);
         this.relay = new EventRelay(openCalls.protocol().lastReceivedEvent(callerRequest));
     }
@@ -165,15 +156,8 @@
     }
 
     private void sendPrefill(final Send instruction, final RegisteredUpstream upstream) {
-        final HttpHeaders headers = openCalls.protocol().prefillHeaders(callerRequest, instruction, openCalls.now());
         exchange = pool.send(
-                exchangeRequest(
-                        instruction,
-                        upstream.address(),
-                        headers,
-                        new ResponseForm.ToRouter(),
-                        PREFILL_TIMEOUT,
-                        PREFILL_TIMEOUT),
+                requests.prefill(instruction, upstream.address()),
                 new ResponseCollector(
                         response -> handlePrefillResponse(instruction, upstream.address(), response),
                         failed -> {
@@ -212,47 +196,11 @@
         upstreamError = null;
         responseBody = new ByteArrayOutputStream();
         relay.discardPartialEvent();
-        final HttpHeaders headers = openCalls
-                .protocol()
-                .upstreamHeaders(
-                        callerRequest,
-                        instruction,
-                        kvCacheReference,
-                        reservation.handOver(),
-                        relay.lastIdentifier(),
-                        openCalls.now());
         exchange = pool.send(
-                exchangeRequest(
-                        instruction,
-                        instruction.upstream().address(),
-                        headers,
-                        instruction.streams() ? new ResponseForm.Streamed() : new ResponseForm.Collected(),
-                        instruction.responseTimeout(),
-                        Duration.between(openCalls.now(), instruction.deadline())),
+                requests.response(instruction, kvCacheReference, reservation.handOver(), relay.lastIdentifier()),
                 event -> handleExchangeEvent(instruction, event));
     }
 
-    private ExchangeRequest exchangeRequest(
-            final Send instruction,
-            final PeerAddress address,
-            final HttpHeaders headers,
-            final ResponseForm form,
-            final Duration retryTimeout,
-            final Duration readTimeout) {
-        return new ExchangeRequest(
-                address,
-                callerRequest.method(),
-                callerRequest.uri(),
-                headers,
-                callerRequest.body(),
-                response -> openCalls.protocol().belongsToRequest(callerRequest, response),
-                form,
-                STALL_TIMEOUT,
-                retryTimeout,
-                readTimeout,
-                instruction.connectionLimit());
-    }
-
     private void handleExchangeEvent(final Send instruction, final ExchangeEvent event) {
         switch (event) {
             case ExchangeEvent.Head(HttpResponse response) -> handleHead(instruction, response);
