Keep an attempt that goes on while its replacement is prepared

Callers could still lose a stream at a sound upstream: it was silent until the retry timeout, went on while memory was being reserved elsewhere, and the instruction to send the call there cut the stream that was running again; if the other upstream then refused, no attempt was left. The session now sends a call elsewhere only if its response has made no progress since the stall; else it drops the reservation and the attempt goes on under the new number.

SilentUpstreamTest.streamThatGoesOnWhileMemoryIsReservedElsewhereIsNotLost failed before: the stream ended after its first event.

--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -145,6 +145,11 @@
 
     private void send(final Send instruction) {
         currentAttempt = instruction;
+        if (exchange != null && exchange.isProgressing()) {
+            // The upstream has continued after the stall that this instruction answers.
+            reservation.release();
+            return;
+        }
         if (exchange != null) {
             exchange.cancelStalled();
         }
@@ -164,7 +169,7 @@
                             recordFailure(upstream, failed);
                             continueWithoutPrefill(instruction, toResult(failed));
                         },
-                        () -> postStall(instruction, upstream, false)));
+                        () -> postStall(upstream, false)));
     }
 
     private void handlePrefillResponse(
@@ -206,11 +211,11 @@
             case ExchangeEvent.Head(HttpResponse response) -> handleHead(instruction, response);
             case ExchangeEvent.Body(ByteBuf content) -> handleBody(instruction, content);
             case ExchangeEvent.Stalled(Duration silence) ->
-                postStall(instruction, instruction.upstream(), silence.compareTo(stallLimit(instruction)) >= 0);
-            case ExchangeEvent.Complete() -> complete(instruction);
+                postStall(instruction.upstream(), silence.compareTo(stallLimit(instruction)) >= 0);
+            case ExchangeEvent.Complete() -> complete();
             case ExchangeEvent.Failed failed -> {
                 recordFailure(instruction.upstream(), failed);
-                postAttemptEnd(instruction, toResult(failed));
+                postAttemptEnd(toResult(failed));
             }
         }
     }
@@ -219,9 +224,9 @@
         return stream == null ? instruction.responseTimeout() : instruction.pauseTimeout();
     }
 
-    private void postStall(final Send instruction, final RegisteredUpstream upstream, final boolean replaceable) {
+    private void postStall(final RegisteredUpstream upstream, final boolean replaceable) {
         openCalls.post(new Event.UpstreamStalled(
-                upstream.name(), new AttemptIdentifier(request, instruction.attempt()), replaceable));
+                upstream.name(), new AttemptIdentifier(request, currentAttempt.attempt()), replaceable));
     }
 
     private void handleHead(final Send instruction, final HttpResponse response) {
@@ -234,7 +239,7 @@
     private void breakAttempt(final Send instruction, final String reason) {
         recordFailure(instruction.upstream(), new ExchangeEvent.Failed(true, false, reason));
         exchange.cancel();
-        postAttemptEnd(instruction, new CallResult.Broken(false, stream != null));
+        postAttemptEnd(new CallResult.Broken(false, stream != null));
     }
 
     private void handleBody(final Send instruction, final ByteBuf content) {
@@ -270,38 +275,38 @@
         stream.offer(events);
     }
 
-    private void complete(final Send instruction) {
+    private void complete() {
         if (openCalls.protocol().classify(responseHead) instanceof ResponseKind.NotRun) {
-            postAttemptEnd(instruction, new CallResult.NotRun(true));
+            postAttemptEnd(new CallResult.NotRun(true));
         } else if (isStreamed()) {
-            completeStream(instruction);
+            completeStream();
         } else {
             final CallResponse.Complete response = new CallResponse.Complete(
                     responseHead.status().code(),
                     openCalls.protocol().forwardedHeaders(responseHead),
                     responseBody.toByteArray());
             if (isSuccess()) {
-                postAttemptEnd(instruction, new CallResult.Served());
+                postAttemptEnd(new CallResult.Served());
                 respond(response);
             } else {
                 upstreamError = response;
-                postAttemptEnd(instruction, new CallResult.FailedByUpstream(response.status()));
+                postAttemptEnd(new CallResult.FailedByUpstream(response.status()));
             }
         }
     }
 
-    private void completeStream(final Send instruction) {
+    private void completeStream() {
         if (relay.hasPartialEvent() || stream == null) {
-            postAttemptEnd(instruction, new CallResult.Broken(false, stream != null));
+            postAttemptEnd(new CallResult.Broken(false, stream != null));
             return;
         }
-        postAttemptEnd(instruction, new CallResult.Served());
+        postAttemptEnd(new CallResult.Served());
         end(responseHead.status().code());
         stream.complete();
     }
 
-    private void postAttemptEnd(final Send instruction, final CallResult result) {
-        openCalls.post(new Event.CallAttemptEnded(request, instruction.attempt(), result));
+    private void postAttemptEnd(final CallResult result) {
+        openCalls.post(new Event.CallAttemptEnded(request, currentAttempt.attempt(), result));
     }
 
     private void respond(final CallResponse.Complete response) {
--- a/src/main/java/org/lacewingstep/upstream/UpstreamExchange.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamExchange.java
@@ -89,6 +89,15 @@
         }
     }
 
+    /**
+     * Returns whether the exchange runs and its response has made progress since a stall was last reported.
+     *
+     * @return false if the exchange has ended or its response makes no progress
+     */
+    public boolean isProgressing() {
+        return !ended && nextStallReportNanos == request.stallTimeout().toNanos();
+    }
+
     /** Restarts the timeouts, because the response has made progress. */
     public void restartTimeouts() {
         lastActivityNanos = System.nanoTime();
