Let calls without a reservation wait as long as a sound upstream is silent

Callers of a repeatable call got 502 although its upstream would have answered: after half a second of silence the call was sent to another upstream, which refused it, and both attempts were used up. Where no memory can be reserved, nothing secures the next attempt, so such a call now waits for 1.5 s, or half of the time that it has left, before it is sent elsewhere.

--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -45,10 +45,10 @@
     private static final double RESPONSE_TIMEOUT_FRACTION = 0.75;
 
     /** Shortest time without data from the upstream after which an attempt may be replaced. */
-    private static final Duration MIN_RESPONSE_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration MIN_RESPONSE_TIMEOUT = Duration.ofMillis(600);
 
-    /** Longest pause of a stream from a sound engine; callers abandon a stream after two seconds at the earliest. */
-    private static final Duration PAUSE_TIMEOUT = Duration.ofMillis(1500);
+    /** Longest silence of a sound upstream; callers abandon a stream after two seconds at the earliest. */
+    private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(1500);
 
     /** Least time before the deadline at which an attempt is still started. */
     private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(30);
@@ -214,8 +214,7 @@
         final Duration target = call.route().latencyTarget();
         final Duration waitLimit =
                 call.route().kind() instanceof RouteKind.EventStream ? target.plus(STREAM_EXTRA_WAIT) : target;
-        final Duration halfOfRemaining = Duration.between(now, call.deadline()).dividedBy(2);
-        return waitLimit.compareTo(halfOfRemaining) < 0 ? waitLimit : halfOfRemaining;
+        return shorter(waitLimit, Duration.between(now, call.deadline()).dividedBy(2));
     }
 
     /**
@@ -344,8 +343,8 @@
                 promptKept,
                 call.team(),
                 call.deadline(),
-                retryTimeout(call, attempt, responseTimeout(call), now),
-                retryTimeout(call, attempt, PAUSE_TIMEOUT, now),
+                retryTimeout(call, attempt, responseTimeout(board, call, upstream, now), now),
+                retryTimeout(call, attempt, SILENCE_TIMEOUT, now),
                 call.route().kind() instanceof RouteKind.EventStream,
                 ReservationRequest.connectionLimit(board, call));
     }
@@ -367,9 +366,22 @@
         return retryable && timeout.compareTo(remaining) < 0 ? timeout : remaining;
     }
 
-    private static Duration responseTimeout(final Call call) {
+    /**
+     * Computes how long an attempt may wait for its first data. Where no memory can be reserved, the next upstream may
+     * refuse a call that the silent one would have served, so the call waits for as long as a sound upstream is silent.
+     */
+    private static Duration responseTimeout(
+            final Blackboard board, final Call call, final RegisteredUpstream upstream, final Instant now) {
         final Duration targetFraction =
                 Duration.ofNanos((long) (call.route().latencyTarget().toNanos() * RESPONSE_TIMEOUT_FRACTION));
-        return targetFraction.compareTo(MIN_RESPONSE_TIMEOUT) > 0 ? targetFraction : MIN_RESPONSE_TIMEOUT;
+        final Duration halfOfRemaining = Duration.between(now, call.deadline()).dividedBy(2);
+        final Duration preferred = ReservationRequest.isNeeded(board, call, upstream)
+                ? targetFraction
+                : shorter(SILENCE_TIMEOUT, halfOfRemaining);
+        return preferred.compareTo(MIN_RESPONSE_TIMEOUT) > 0 ? preferred : MIN_RESPONSE_TIMEOUT;
+    }
+
+    private static Duration shorter(final Duration first, final Duration second) {
+        return first.compareTo(second) < 0 ? first : second;
     }
 }
