Complete a call whose silent attempt was served as it was replaced

A call that was served just before its replacement was decided stayed open on the board until its deadline: the session had ended and ignored the instruction, and the end of the earlier attempt was ignored as not current. The call kept an upstream occupied that it never reached, delayed a stop and then counted as a timeout of a sound upstream.

ReplacedAttemptTest.callWhoseSilentAttemptCompletesAsItIsReplacedOccupiesNothing failed before.

--- a/src/main/java/org/lacewingstep/controller/CallCompletion.java
+++ b/src/main/java/org/lacewingstep/controller/CallCompletion.java
@@ -49,6 +49,20 @@
         };
     }
 
+    /**
+     * Completes a call whose earlier attempt was served after a later one had been decided.
+     *
+     * @param board the blackboard, not null
+     * @param call the call, not null
+     * @param now the present time, not null
+     * @return the updated section with the resulting effects and events, never null
+     */
+    static Outcome<CallSection> completeByEarlierAttempt(final Blackboard board, final Call call, final Instant now) {
+        final OutcomeBuilder builder = new OutcomeBuilder();
+        releaseUpstreams(call, Optional.empty(), builder);
+        return complete(board, call, "served", builder, now);
+    }
+
     /**
      * Fails or refuses a call whose deadline has passed.
      *
--- a/src/main/java/org/lacewingstep/controller/CallController.java
+++ b/src/main/java/org/lacewingstep/controller/CallController.java
@@ -38,8 +38,7 @@
             case Event.CallArrived(CallParameters parameters) -> handleArrival(board, parameters, now);
             case Event.CallAttemptEnded(RequestIdentifier request, int attempt, CallResult result) ->
                 find(board, request)
-                        .filter(call -> isCurrentAttempt(call, attempt))
-                        .map(call -> CallCompletion.endAttempt(board, call, result, now))
+                        .map(call -> endAttempt(board, call, attempt, result, now))
                         .orElseGet(() -> unchanged(board));
             case Event.UpstreamStalled(var upstream, AttemptIdentifier attempt, boolean replaceable) ->
                 find(board, attempt.request())
@@ -126,6 +125,20 @@
         return new Outcome<>(outcome.section(), outcome.effects(), events);
     }
 
+    /**
+     * Ends the current attempt. An attempt that was being replaced may have been served before the call was sent again;
+     * its response has reached the caller.
+     */
+    private static Outcome<CallSection> endAttempt(
+            final Blackboard board, final Call call, final int attempt, final CallResult result, final Instant now) {
+        if (isCurrentAttempt(call, attempt)) {
+            return CallCompletion.endAttempt(board, call, result, now);
+        }
+        return result instanceof CallResult.Served
+                ? CallCompletion.completeByEarlierAttempt(board, call, now)
+                : unchanged(board);
+    }
+
     private static long confirmationAge(final Blackboard board, final Instant now) {
         return board.serving()
                 .routing()
