Leave a silent attempt alone when no time is left for another

A stalled call was sent elsewhere with less time left than any attempt needs, which ended the attempt that could still have been served. The limit that new attempts have now holds for replacements.

ReplacedAttemptTest.silentAttemptIsNotReplacedWhenNoTimeIsLeftForAnother failed before.

--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -71,7 +71,7 @@
         if (!CallAdmission.mayStillRun(board, call, now)) {
             return refuse(board, call, builder, ErrorCode.NOT_READY, "the key was withdrawn or cannot be proved", now);
         }
-        if (Duration.between(now, call.deadline()).compareTo(MIN_ATTEMPT_TIME) < 0) {
+        if (isTooLateToSend(call, now)) {
             return refuse(board, call, builder, ErrorCode.NO_CAPACITY, "no upstream was free in time", now);
         }
         final FailureDomainName ownDomain = board.serving().site().bounds().failureDomain();
@@ -130,6 +130,7 @@
     static Outcome<CallSection> replaceStalledAttempt(final Blackboard board, final Call call, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
         if (!(call.phase() instanceof CallPhase.Sent stalled)
+                || isTooLateToSend(call, now)
                 || CallCompletion.retryObstacle(board, call, true, now).isPresent()) {
             return builder.outcome(board.serving().calls());
         }
@@ -149,6 +150,10 @@
                 board.serving().calls(), call.withPhase(new CallPhase.Replacing(stalled, replacement.name()))));
     }
 
+    private static boolean isTooLateToSend(final Call call, final Instant now) {
+        return Duration.between(now, call.deadline()).compareTo(MIN_ATTEMPT_TIME) < 0;
+    }
+
     /** Ends a stalled attempt and sends the call to another upstream; a stream continues there. */
     private static Outcome<CallSection> sendReplacement(
             final Blackboard board,
