Keep the regions of a team for the calls that it began

A call that outlives its team in the routing table could be sent to any region, since a team that the table doesn't have restricts none. It has been possible since calls that have started are finished after a withdrawal. The regions that the team allowed are now part of the call from its admission.

RemovedTeamTest failed before: the call was sent to an upstream in another region.

--- a/src/main/java/org/lacewingstep/blackboard/CallSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/CallSection.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.lacewingstep.domain.RegionName;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Route;
 import org.lacewingstep.domain.ServiceName;
@@ -29,6 +30,7 @@
      * @param route the route that matches the call, not null
      * @param service the service that the call is sent to, not null
      * @param team the caller's team, empty on an open route
+     * @param teamRegions the regions that the team allowed when the call was admitted, empty for all, not null
      * @param units number of units debited from the team
      * @param deadline latest time for the complete response, not null
      * @param attempts number of attempts made so far
@@ -42,6 +44,7 @@
             Route route,
             ServiceName service,
             Optional<TeamName> team,
+            Set<RegionName> teamRegions,
             long units,
             Instant deadline,
             int attempts,
@@ -49,8 +52,9 @@
             Optional<Instant> promptReadyAt,
             boolean mayHaveRun,
             CallPhase phase) {
-        /** Copies the set. */
+        /** Copies the sets. */
         public Call {
+            teamRegions = Set.copyOf(teamRegions);
             tried = Set.copyOf(tried);
         }
 
@@ -86,6 +90,7 @@
                     route,
                     service,
                     team,
+                    teamRegions,
                     units,
                     deadline,
                     nextAttempts,
--- a/src/main/java/org/lacewingstep/controller/CallAdmission.java
+++ b/src/main/java/org/lacewingstep/controller/CallAdmission.java
@@ -15,6 +15,7 @@
 import org.lacewingstep.blackboard.Refusal;
 import org.lacewingstep.blackboard.RoutingSection;
 import org.lacewingstep.domain.AllowanceBucket;
+import org.lacewingstep.domain.RegionName;
 import org.lacewingstep.domain.Route;
 import org.lacewingstep.domain.RoutingTable;
 import org.lacewingstep.domain.TeamAllowance;
@@ -89,7 +90,7 @@
                     : notReady("the routing table may be out of date");
         }
         if (route.get().open()) {
-            return new AdmissionDecision.Admitted(createCall(parameters, route.get(), Optional.empty(), 0));
+            return new AdmissionDecision.Admitted(createCall(parameters, route.get(), Optional.empty(), Set.of(), 0));
         }
         if (!confirmed) {
             return notReady("keys may have been withdrawn");
@@ -137,11 +138,20 @@
                             Input.of("level", Math.round(bucket.get().level())),
                             Input.of("rate", Math.round(bucket.get().unitsPerSecond()))));
         }
-        return new AdmissionDecision.Admitted(createCall(parameters, route, Optional.of(team), units));
+        return new AdmissionDecision.Admitted(createCall(
+                parameters,
+                route,
+                Optional.of(team),
+                allowance == null ? Set.of() : allowance.allowedRegions(),
+                units));
     }
 
     private static Call createCall(
-            final CallParameters parameters, final Route route, final Optional<TeamName> team, final long units) {
+            final CallParameters parameters,
+            final Route route,
+            final Optional<TeamName> team,
+            final Set<RegionName> teamRegions,
+            final long units) {
         final Duration limit =
                 parameters.waitLimit().compareTo(route.timeLimit()) < 0 ? parameters.waitLimit() : route.timeLimit();
         final Instant deadline = parameters.receivedAt().plus(limit);
@@ -150,6 +160,7 @@
                 route,
                 route.chooseService(parameters.request()),
                 team,
+                teamRegions,
                 units,
                 deadline,
                 0,
--- a/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
@@ -16,7 +16,6 @@
 import org.lacewingstep.domain.RegionName;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.ServiceLimits;
-import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
 import org.lacewingstep.domain.UpstreamUse;
@@ -148,11 +147,7 @@
     private static boolean isInAllowedRegion(
             final Blackboard board, final Call call, final RegisteredUpstream upstream) {
         final RegionName region = board.serving().site().bounds().regions().get(upstream.failureDomain());
-        final Set<RegionName> teamRegions = call.team()
-                .map(board.serving().routing().table().teams()::get)
-                .map(TeamAllowance::allowedRegions)
-                .orElse(Set.of());
-        return allows(call.route().allowedRegions(), region) && allows(teamRegions, region);
+        return allows(call.route().allowedRegions(), region) && allows(call.teamRegions(), region);
     }
 
     private static boolean allows(final Set<RegionName> allowed, final RegionName region) {
