Wait for the pending reservation when a silent attempt breaks

An attempt that broke while memory was being reserved for its replacement threw the reservation away and asked again, and the response to the first request could be taken for that to the second. The call now waits for the reservation that is under way. StalledAttemptTest.attemptThatBreaksWhileItIsReplacedIsRetried holds it.

--- a/src/main/java/org/lacewingstep/controller/CallCompletion.java
+++ b/src/main/java/org/lacewingstep/controller/CallCompletion.java
@@ -16,6 +16,7 @@
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.Refusal;
+import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.error.ErrorCode;
 
 /** Completes, retries or fails a call when an attempt ends or the deadline passes. */
@@ -36,6 +37,11 @@
     static Outcome<CallSection> endAttempt(
             final Blackboard board, final Call call, final CallResult result, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
+        if (call.phase() instanceof CallPhase.Replacing(CallPhase.Sent stalled, var replacement)
+                && result instanceof CallResult.Broken
+                && retryObstacle(board, call, true, now).isEmpty()) {
+            return awaitReplacement(board, call, stalled, replacement, result, now);
+        }
         releaseUpstreams(call, Optional.of(result), builder);
         return switch (result) {
             case CallResult.Served() -> complete(board, call, "served", builder, now);
@@ -154,6 +160,23 @@
         return call.with(call.attempts() - 1, call.tried(), call.promptReadyAt(), call.mayHaveRun(), call.phase());
     }
 
+    /** Releases a broken attempt; the call is sent to the replacement once memory is reserved there. */
+    private static Outcome<CallSection> awaitReplacement(
+            final Blackboard board,
+            final Call call,
+            final CallPhase.Sent broken,
+            final UpstreamName replacement,
+            final CallResult result,
+            final Instant now) {
+        final OutcomeBuilder builder = new OutcomeBuilder();
+        releaseAttempt(call, broken, Optional.of(result), builder);
+        logRetry(call, result, builder);
+        final Instant until = now.plus(CallPlacement.queueWaitLimit(call, now));
+        final Call waiting = call.with(
+                call.attempts(), call.tried(), Optional.empty(), true, new CallPhase.Reserving(replacement, until));
+        return builder.outcome(CallController.with(board.serving().calls(), waiting));
+    }
+
     /** Retries a call that may have run, or ends the call with the instruction if no retry is possible. */
     private static Outcome<CallSection> retryOrInstruct(
             final Blackboard board,
@@ -198,12 +221,7 @@
             final OutcomeBuilder builder,
             final CallResult result,
             final Instant now) {
-        builder.add(new Effect.Log(Decision.on(
-                "attempt",
-                call.parameters().request(),
-                "sent again",
-                Input.of("result", result),
-                Input.of("attempts", call.attempts()))));
+        logRetry(call, result, builder);
         final Call queued = call.with(
                 call.attempts(),
                 call.tried(),
@@ -213,6 +231,22 @@
         return CallPlacement.place(board, queued, builder, now);
     }
 
+    /**
+     * Logs that a call is sent again.
+     *
+     * @param call the call, not null
+     * @param result the result of the attempt before, not null
+     * @param builder collects the effect, not null
+     */
+    static void logRetry(final Call call, final CallResult result, final OutcomeBuilder builder) {
+        builder.add(new Effect.Log(Decision.on(
+                "attempt",
+                call.parameters().request(),
+                "sent again",
+                Input.of("result", result),
+                Input.of("attempts", call.attempts()))));
+    }
+
     private static CallInstruction failure(final CallResult.Broken broken) {
         return new CallInstruction.Fail(
                 broken.silent() ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.UPSTREAM_FAILED,
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -164,12 +164,7 @@
             final Instant now) {
         final CallResult result = new CallResult.Broken(true, false);
         CallCompletion.releaseAttempt(call, stalled, Optional.of(result), builder);
-        builder.add(new Effect.Log(Decision.on(
-                "attempt",
-                call.parameters().request(),
-                "sent again",
-                Input.of("result", result),
-                Input.of("attempts", call.attempts()))));
+        CallCompletion.logRetry(call, result, builder);
         final Call replaced = call.with(call.attempts(), call.tried(), Optional.empty(), true, stalled);
         return send(board, replaced, replacement, builder, now);
     }
