Finish a begun generation although its key is withdrawn

Callers of the product's own interface lost a generation in the middle when its engine failed after their key had been withdrawn: key and service were checked again before the generation was resumed. A request that an upstream may have started is now finished.

The scenario 'A generation that has begun is finished elsewhere although its key is withdrawn' failed before: none of two generations was completed.

--- a/src/main/java/org/lacewingstep/controller/Placement.java
+++ b/src/main/java/org/lacewingstep/controller/Placement.java
@@ -79,9 +79,15 @@
         return waitForOwner(board, section, state, builder, now);
     }
 
-    /** Checks again that the service exists and that the key's team may use it, since both may change after arrival. */
+    /**
+     * Checks again that the service exists and that the key's team may use it, since both may change after arrival. A
+     * request that an upstream may have started is finished whatever has changed.
+     */
     private static Optional<Refusal> recheckAccess(
             final Blackboard board, final RequestState state, final Instant now) {
+        if (state.everSent()) {
+            return Optional.empty();
+        }
         final Service service = board.configuration().inForce().services().get(state.service());
         if (service == null) {
             return Optional.of(Refusal.of(ErrorCode.SERVICE_UNKNOWN, "the service was removed while waiting"));
--- a/src/test/resources/scenarios/withdrawn-keys.feature
+++ b/src/test/resources/scenarios/withdrawn-keys.feature
@@ -16,3 +16,14 @@
     And 180 seconds pass
     Then no upstream received new work after the excluded outcomes
     And every request has exactly one outcome
+
+  Scenario: A generation that has begun is finished elsewhere although its key is withdrawn
+    When team "weavers" sends 2 requests of 100 prompt and 100 output tokens at once
+    And 1500 milliseconds pass
+    And the operator withdraws the key of team "weavers"
+    And 1 seconds pass
+    And upstream "decode-0" fails
+    And 1 seconds pass
+    And upstream "decode-0" recovers
+    And 60 seconds pass
+    Then at least 100 percent of the requests of team "weavers" were completed
