Skip a refusal that names no request

Callers saw: 503 and "not run" for a call that its upstream had run, or a second run at another upstream, after a faulty upstream wrote an earlier refusal once more on a kept connection.

Cause: a failure without Request-Id was accepted as the response to the request in hand. A late copy of a refused reservation has none, as the router sends reservations without an identifier.

Evidence: RepeatedRefusalTest failed before in 20 of its cases, for example callThatRanIsNeverReportedAsNotRun [WITHOUT_IDENTIFIER] "Expecting actual: 503 not to be in: [408, 421, 429, 503]" and callIsNotRepeatedAfterARepeatedRefusalInsteadOfItsResponse "503 to be in: [502, 504]".

Why this works: upstreams echo Request-Id in their responses, so a response that lacks it belongs to no request that has one. It is skipped, its connection is not used again, and the response that names the request still counts. If none comes, the call ends within its limits as "may have run". Only a request without identifier may get a failure without one.

PlatformProtocolTest expected a refusal without Request-Id to belong to any request, which is the fault itself; it now expects the opposite and that a refusal with the identifier belongs. The test doubles of upstreams refused without Request-Id, against the platform's protocol; they echo it now, as does the soak's response to prefill requests.

--- a/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
@@ -162,12 +162,14 @@
 
     @Override
     public boolean belongsToRequest(final CallerRequest callerRequest, final HttpResponse response) {
-        final String responseIdentifier = response.headers().get(REQUEST_ID);
-        if (responseIdentifier == null) {
-            // A success always names its request; one that does not may be the late copy of another response.
-            return response.status().codeClass() != HttpStatusClass.SUCCESS;
+        final Optional<String> requestIdentifier = callerIdentifier(callerRequest);
+        final Optional<String> responseIdentifier =
+                Optional.ofNullable(response.headers().get(REQUEST_ID));
+        if (requestIdentifier.isEmpty()) {
+            // An upstream rejects a request without an identifier, and has none to echo.
+            return responseIdentifier.isEmpty() && response.status().codeClass() != HttpStatusClass.SUCCESS;
         }
-        return responseIdentifier.equals(callerRequest.headers().get(REQUEST_ID));
+        return responseIdentifier.equals(requestIdentifier);
     }
 
     @Override
--- a/src/main/java/org/lacewingstep/traffic/CallProtocol.java
+++ b/src/main/java/org/lacewingstep/traffic/CallProtocol.java
@@ -144,7 +144,7 @@
      *
      * @param callerRequest the request that was read from the caller, not null
      * @param response the status line and headers of the response, not null
-     * @return false if the response names another request
+     * @return false if the response names another request, or names none although the request has an identifier
      */
     boolean belongsToRequest(CallerRequest callerRequest, HttpResponse response);
 
--- a/src/standin/java/org/lacewingstep/soak/SoakUpstream.java
+++ b/src/standin/java/org/lacewingstep/soak/SoakUpstream.java
@@ -83,25 +83,30 @@
     private boolean respond(final Socket socket, final SocketRequest request) throws IOException, InterruptedException {
         final OutputStream output = socket.getOutputStream();
         if (!identifier.equals(request.headers().getOrDefault("expect-instance", identifier))) {
-            write(output, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
+            write(output, "HTTP/1.1 421 Misdirected\r\n" + identifierHeader(request) + "Content-Length: 0\r\n\r\n");
             return true;
         }
         if (request.path().startsWith("/hold-take")) {
             write(
                     output,
-                    jsonResponse("{\"hold\":\"" + ThreadLocalRandom.current().nextInt(1 << 30) + "\"}"));
+                    jsonResponse(
+                            request,
+                            "{\"hold\":\"" + ThreadLocalRandom.current().nextInt(1 << 30) + "\"}"));
             return true;
         }
         if (request.path().startsWith("/hold-drop")) {
-            write(output, jsonResponse("{}"));
+            write(output, jsonResponse(request, "{}"));
             return true;
         }
         if (fault == UpstreamFault.REFUSES) {
-            write(output, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            write(
+                    output,
+                    "HTTP/1.1 503 Full\r\n" + identifierHeader(request)
+                            + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             return true;
         }
         if (request.headers().containsKey("stage")) {
-            write(output, jsonResponse("{\"kvHandle\":\"h\",\"tokens\":1,\"version\":1}"));
+            write(output, jsonResponse(request, "{\"kvHandle\":\"h\",\"tokens\":1,\"version\":1}"));
             return true;
         }
         return execute(socket, output, request);
@@ -160,9 +165,15 @@
         return "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nResponse-Seal: seal-" + requestId + "\r\n";
     }
 
-    private static String jsonResponse(final String body) {
-        return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length() + "\r\n\r\n"
-                + body;
+    /** Formats the header that echoes the identifier of a request, empty if the request has none. */
+    private static String identifierHeader(final SocketRequest request) {
+        final String identifier = request.headers().get("request-id");
+        return identifier == null ? "" : "Request-Id: " + identifier + "\r\n";
+    }
+
+    private static String jsonResponse(final SocketRequest request, final String body) {
+        return "HTTP/1.1 200 OK\r\n" + identifierHeader(request) + "Content-Type: application/json\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body;
     }
 
     private static String chunk(final String text) {
--- a/src/test/java/org/lacewingstep/command/ScriptedUpstream.java
+++ b/src/test/java/org/lacewingstep/command/ScriptedUpstream.java
@@ -112,7 +112,11 @@
         final String sealed = "HTTP/1.1 200 OK\r\nRequest-Id: " + identifier + "\r\nResponse-Seal: s\r\n";
         switch (script) {
             case COMPLETE -> write(output, sealed + "Content-Length: 4\r\n\r\ndone");
-            case NOT_RUN -> write(output, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            case NOT_RUN ->
+                write(
+                        output,
+                        "HTTP/1.1 503 Full\r\nRequest-Id: " + identifier
+                                + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             case EXTRA_RESPONSE_BEFORE -> {
                 write(output, "HTTP/1.1 200 OK\r\nRequest-Id: old\r\nResponse-Seal: s\r\nContent-Length: 3\r\n\r\nold");
                 write(output, sealed + "Content-Length: 4\r\n\r\ndone");
--- a/src/test/java/org/lacewingstep/platform/PlatformProtocolTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformProtocolTest.java
@@ -168,8 +168,27 @@
         assertThat(protocol.belongsToRequest(callerRequest, response(200, "Request-Id", "r0")))
                 .isFalse();
         assertThat(protocol.belongsToRequest(callerRequest, response(200))).isFalse();
+        assertThat(protocol.belongsToRequest(callerRequest, response(503, "Request-Id", "r1", "Not-Executed", "1")))
+                .isTrue();
+    }
+
+    @Test
+    void aRefusalWithoutRequestIdBelongsToNoRequestThatHasOne() {
+        final CallerRequest callerRequest = callerRequest("Request-Id", "r1");
+
         assertThat(protocol.belongsToRequest(callerRequest, response(503, "Not-Executed", "1")))
+                .isFalse();
+        assertThat(protocol.belongsToRequest(callerRequest, response(421))).isFalse();
+        assertThat(protocol.belongsToRequest(callerRequest, response(500))).isFalse();
+    }
+
+    @Test
+    void onlyARequestWithoutRequestIdIsRejectedWithoutOne() {
+        assertThat(protocol.belongsToRequest(callerRequest(), response(400, "Not-Executed", "1")))
                 .isTrue();
+        assertThat(protocol.belongsToRequest(callerRequest(), response(503, "Request-Id", "r0", "Not-Executed", "1")))
+                .isFalse();
+        assertThat(protocol.belongsToRequest(callerRequest(), response(200))).isFalse();
     }
 
     @Test
