Answer 502 for a 503 that does not state that the request was not run

Callers saw: 408, 429 or 503, which promise that a request was not run, from an upstream that had not said so.

Cause: a failure without Not-Executed was passed on with its status, whatever the status promises. Only Not-Executed, or status 421, states that a request was not run.

Why this works: such a response is unusable like a success without its seal: the attempt may have run, so only calls that may run again are sent again, and the caller reads 502.

--- a/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
@@ -74,6 +74,9 @@
             STAGE,
             TENANT);
 
+    /** Statuses that promise a caller that its request was not run, besides 421. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 429, 503);
+
     private static final Logger LOGGER = LoggerFactory.getLogger(PlatformProtocol.class);
     /** Wait limit of a request without a valid {@code Deadline-Ms} header. */
     private static final Duration DEFAULT_WAIT_LIMIT = Duration.ofHours(1);
@@ -182,6 +185,9 @@
         if (response.headers().contains(NOT_EXECUTED) || response.status().code() == HTTP_MISDIRECTED_REQUEST) {
             return new ResponseKind.NotRun();
         }
+        if (NOT_RUN_STATUSES.contains(response.status().code())) {
+            return new ResponseKind.Unusable("the response lacks the Not-Executed header that its status requires");
+        }
         if (response.status().codeClass() != HttpStatusClass.SUCCESS) {
             return new ResponseKind.Genuine();
         }
--- a/src/test/java/org/lacewingstep/command/RepeatedRefusalTest.java
+++ b/src/test/java/org/lacewingstep/command/RepeatedRefusalTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingstep.command.RawUpstream.Exchange;
 import org.lacewingstep.command.RawUpstream.Reply;
 
@@ -184,6 +185,19 @@
         assertThat(response.body()).contains("not run");
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"408 Timeout", "429 Too Many", "503 Unavailable"})
+    void failureThatDoesNotStateNotExecutedIsReportedAsMayHaveRun(final String status) throws Exception {
+        site.single()
+                .respondWith(exchange ->
+                        Reply.keepOpen(response(status + "\r\nRequest-Id: " + exchange.identifier(), "failed")));
+
+        final HttpResponse<String> response = site.send(ONCE);
+
+        assertThat(response.statusCode()).isEqualTo(502);
+        assertThat(response.body()).contains("may have run");
+    }
+
     @Test
     void connectionOfARepeatedRefusalIsNotUsedAgain() throws Exception {
         site.single()
