Reject a response head that contains the status line of another response

Callers saw: 503 and "not run" for a call that ran, where a repeated refusal broke off inside its head and the call's own response followed.

Cause: the HTTP codec joins the two heads. "503 Full", Not-Executed and the start of a header stay, the next status line becomes a header's value or part of the reason phrase, and the following lines add the Request-Id of the call, so that the refusal seems to belong to it.

Why this works: no reason phrase or header value of a whole head holds a status line. A head that does is not valid HTTP, so the connection is closed and the call may have run.

--- a/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
@@ -1,6 +1,8 @@
 package org.lacewingstep.upstream;
 
 import java.time.Duration;
+import java.util.Map;
+import java.util.regex.Pattern;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -36,6 +38,8 @@
     /** Bytes of bodies of skipped responses in an exchange. */
     private static final int MAX_SKIPPED_BYTES = 64 * 1024;
 
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
     private final PeerAddress address;
     private final Channel channel;
     private final UpstreamPool pool;
@@ -170,7 +174,7 @@
     private void readHead(final HttpResponse response) {
         if (currentExchange == null) {
             channel.close();
-        } else if (response.decoderResult().isFailure()) {
+        } else if (response.decoderResult().isFailure() || containsStatusLine(response)) {
             fail(false, "the response is not valid HTTP");
         } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skipResponse();
@@ -259,6 +263,23 @@
         }
     }
 
+    /** Returns whether a head broke off and continues with the status line of another response. */
+    private static boolean containsStatusLine(final HttpResponse response) {
+        if (isStatusLineIn(response.status().reasonPhrase())) {
+            return true;
+        }
+        for (final Map.Entry<String, String> header : response.headers()) {
+            if (isStatusLineIn(header.getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean isStatusLineIn(final String text) {
+        return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
+    }
+
     private static boolean isFramed(final HttpResponse response) {
         return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
     }
