End an attempt whose connection a foreign response takes up

Callers saw: no answer until their deadline, after an upstream wrote an earlier refusal once more without a length.

Cause: such a response lasts until the connection ends, and so takes in the call's own response; it was skipped all the same, and nothing else could arrive.

Why this works: the attempt ends at the head of a foreign response that has no length, as one that may have run, so that calls that may run again are sent again in time. EndlessResponseTest gets a foreign response with a length, since the one without no longer reaches the limit of skipped bytes. Skipped responses are logged with their status and address.

--- a/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
@@ -19,6 +19,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.lacewingstep.domain.PeerAddress;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A connection to an upstream that carries one exchange at a time; used on one event loop only.
@@ -38,6 +40,7 @@
     /** Bytes of bodies of skipped responses in an exchange. */
     private static final int MAX_SKIPPED_BYTES = 64 * 1024;
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(UpstreamConnection.class);
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
 
     private final PeerAddress address;
@@ -179,8 +182,7 @@
         } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skipResponse();
         } else if (!currentExchange.request().responseFilter().test(response)) {
-            reusable = false;
-            skipResponse();
+            skipForeignResponse(response);
         } else {
             succeeded = response.status().codeClass() == HttpStatusClass.SUCCESS;
             skippingResponse = false;
@@ -191,6 +193,20 @@
         }
     }
 
+    private void skipForeignResponse(final HttpResponse response) {
+        reusable = false;
+        LOGGER.atInfo()
+                .addKeyValue("step", "exchange")
+                .addKeyValue("address", address)
+                .addKeyValue("status", response.status().code())
+                .log("skipped a response that belongs to no request");
+        if (isFramed(response)) {
+            skipResponse();
+        } else {
+            fail(false, "a response that belongs to no request takes up the connection");
+        }
+    }
+
     private void skipResponse() {
         skippingResponse = true;
         skippedResponses++;
--- a/src/test/java/org/lacewingstep/command/EndlessResponseTest.java
+++ b/src/test/java/org/lacewingstep/command/EndlessResponseTest.java
@@ -106,6 +106,7 @@
                 "ENDLESS_HEADERS",
                 "ENDLESS_INFORMATIONAL_RESPONSES",
                 "ENDLESS_FOREIGN_RESPONSE",
+                "ENDLESS_FRAMED_FOREIGN_RESPONSE",
                 "ENDLESS_BODY",
                 "ENDLESS_CHUNK_EXTENSION",
                 "ENDLESS_TRAILER"
--- a/src/test/java/org/lacewingstep/command/RepeatedRefusalTest.java
+++ b/src/test/java/org/lacewingstep/command/RepeatedRefusalTest.java
@@ -139,6 +139,16 @@
         assertThat(response.body()).contains("may have run");
     }
 
+    @Test
+    void callIsFailedAtOnceAfterARefusalThatTakesUpTheConnection() throws Exception {
+        site.single().respondWith(exchange -> Reply.keepOpen(Copy.WITHOUT_IDENTIFIER_AND_LENGTH.bytes));
+
+        final HttpResponse<String> response = site.send(ONCE);
+
+        assertThat(response.statusCode()).isEqualTo(502);
+        assertThat(response.body()).contains("may have run");
+    }
+
     @ParameterizedTest
     @EnumSource(names = {"OF_ANOTHER_REQUEST", "WITHOUT_IDENTIFIER"})
     void streamIsPassedOnAfterARepeatedRefusal(final Copy copy) throws Exception {
