Withhold events that do not follow the last one that the caller has

Callers saw: another upstream's text or a whole head in the middle of a stream, or events twice, after the stream broke off; the stream then ended as if it were complete.

Cause: a success with its seal was joined to the stream whatever its body held. A body with blank lines counts as events, and the identifiers of events were read but never checked.

Why this works: the platform promises events with increasing identifiers. The first event after a break must have a higher one than the last event forwarded, and so must every event that has one; a status line is no event. From the first event that does not follow on, nothing of the response is forwarded, and as bytes are left over at its end the attempt counts as broken.

--- a/src/main/java/org/lacewingstep/traffic/EventRelay.java
+++ b/src/main/java/org/lacewingstep/traffic/EventRelay.java
@@ -9,6 +9,9 @@
 /**
  * Splits a stream of server-sent events at the boundaries of events, so that a caller never receives an incomplete
  * event when an upstream fails in mid-stream; used on one event loop.
+ *
+ * <p>Withholds an event that does not follow the events already received, and all bytes after that event, because the
+ * caller must not receive an event twice or the error message of another upstream.
  */
 final class EventRelay {
     private static final byte LINE_FEED = '\n';
@@ -17,7 +20,13 @@
     private static final int LONGEST_BLANK_LINE = 3;
 
     private static final byte[] IDENTIFIER_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] COMMENT = ":".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] STATUS_LINE = "HTTP/".getBytes(StandardCharsets.US_ASCII);
+    private static final String DECIMAL_NUMBER = "\\d{1,18}";
 
+    private boolean inSequence;
+    private boolean outOfSequence;
+    private boolean released;
     private Optional<String> lastIdentifier;
     private ByteBuf pending = Unpooled.EMPTY_BUFFER;
 
@@ -28,19 +37,21 @@
      */
     EventRelay(final Optional<String> lastIdentifier) {
         this.lastIdentifier = lastIdentifier;
+        this.inSequence = lastIdentifier.isEmpty();
     }
 
     /**
      * Appends bytes of the stream and returns the events that they complete.
      *
      * @param content the bytes, whose ownership passes to this relay, not null
-     * @return the complete events, whose ownership passes to the method's caller; empty if no event is complete
+     * @return the complete events, whose ownership passes to the method's caller; empty if no event is complete or the
+     *     next event does not follow the ones already received
      */
     Optional<ByteBuf> append(final ByteBuf content) {
         final int searched = Math.max(0, pending.readableBytes() - LONGEST_BLANK_LINE);
         final ByteBuf joined = join(content);
         pending = Unpooled.EMPTY_BUFFER;
-        final int length = completeEventsLength(joined, searched);
+        final int length = outOfSequence ? 0 : acceptedLength(joined, completeEventsLength(joined, searched));
         if (length == 0) {
             pending = joined;
             return Optional.empty();
@@ -51,7 +62,7 @@
         } else {
             joined.release();
         }
-        findIdentifier(complete).ifPresent(found -> lastIdentifier = Optional.of(found));
+        released = true;
         return Optional.of(complete);
     }
 
@@ -72,14 +83,25 @@
         return joined;
     }
 
-    /** Discards the buffered bytes of an incomplete event. */
+    /** Discards the buffered bytes before the response of another upstream, which has to continue the stream. */
     void discardPartialEvent() {
         pending.release();
         pending = Unpooled.EMPTY_BUFFER;
+        outOfSequence = false;
+        inSequence = lastIdentifier.isEmpty() && !released;
     }
 
     /**
-     * Counts the buffered bytes of an incomplete event.
+     * Returns whether the current response has an event that does not follow the events already received.
+     *
+     * @return true if the rest of the current response is withheld
+     */
+    boolean isOutOfSequence() {
+        return outOfSequence;
+    }
+
+    /**
+     * Counts the buffered bytes of an incomplete or withheld event.
      *
      * @return the number of bytes
      */
@@ -88,7 +110,7 @@
     }
 
     /**
-     * Returns whether bytes of an incomplete event are buffered.
+     * Returns whether bytes of an incomplete or withheld event are buffered.
      *
      * @return true if bytes are buffered
      */
@@ -126,34 +148,79 @@
                 && buffer.getByte(index - 1) == LINE_FEED;
     }
 
-    private static Optional<String> findIdentifier(final ByteBuf events) {
-        int lineStart = events.readerIndex();
-        int fieldStart = -1;
-        while (lineStart < events.writerIndex()) {
-            if (startsWithIdentifier(events, lineStart)) {
-                fieldStart = lineStart;
+    /** Returns the length up to the first event that does not follow the events before it, or else the whole length. */
+    private int acceptedLength(final ByteBuf buffer, final int length) {
+        final int end = buffer.readerIndex() + length;
+        int eventStart = buffer.readerIndex();
+        int lineStart = eventStart;
+        while (lineStart < end) {
+            final int lineEnd = buffer.indexOf(lineStart, end, LINE_FEED);
+            if (isBlank(buffer, lineStart, lineEnd)) {
+                if (!accept(buffer, eventStart, lineStart)) {
+                    outOfSequence = true;
+                    return eventStart - buffer.readerIndex();
+                }
+                eventStart = lineEnd + 1;
             }
-            lineStart = lineEnd(events, lineStart) + 1;
+            lineStart = lineEnd + 1;
         }
-        if (fieldStart < 0) {
-            return Optional.empty();
+        return length;
+    }
+
+    /** Accepts an event if it follows the ones already received; one without fields always does. */
+    private boolean accept(final ByteBuf buffer, final int start, final int end) {
+        Optional<String> identifier = Optional.empty();
+        boolean hasFields = false;
+        for (int line = start; line < end; line = lineEnd(buffer, line, end) + 1) {
+            hasFields = hasFields || !startsWith(buffer, line, end, COMMENT);
+            if (startsWith(buffer, line, end, IDENTIFIER_FIELD)) {
+                final int value = line + IDENTIFIER_FIELD.length;
+                identifier =
+                        Optional.of(buffer.toString(value, lineEnd(buffer, line, end) - value, StandardCharsets.UTF_8)
+                                .trim());
+            }
+        }
+        if (!hasFields) {
+            return true;
         }
-        final int start = fieldStart + IDENTIFIER_FIELD.length;
-        return Optional.of(events.toString(start, lineEnd(events, fieldStart) - start, StandardCharsets.UTF_8)
-                .trim());
+        if (startsWith(buffer, start, end, STATUS_LINE) || !follows(identifier)) {
+            return false;
+        }
+        inSequence = true;
+        lastIdentifier = identifier.or(() -> lastIdentifier);
+        return true;
+    }
+
+    /**
+     * Checks the identifier of an event. Identifiers increase, but not necessarily by one, so a missing event cannot be
+     * detected.
+     */
+    private boolean follows(final Optional<String> identifier) {
+        if (identifier.isEmpty() || lastIdentifier.isEmpty()) {
+            return inSequence;
+        }
+        if (!lastIdentifier.get().matches(DECIMAL_NUMBER)) {
+            return !identifier.equals(lastIdentifier);
+        }
+        return identifier.get().matches(DECIMAL_NUMBER)
+                && Long.parseLong(identifier.get()) > Long.parseLong(lastIdentifier.get());
+    }
+
+    private static boolean isBlank(final ByteBuf buffer, final int start, final int end) {
+        return end == start || end == start + 1 && buffer.getByte(start) == CARRIAGE_RETURN;
     }
 
-    private static int lineEnd(final ByteBuf events, final int start) {
-        final int end = events.indexOf(start, events.writerIndex(), LINE_FEED);
-        return end < 0 ? events.writerIndex() : end;
+    private static int lineEnd(final ByteBuf buffer, final int start, final int limit) {
+        final int end = buffer.indexOf(start, limit, LINE_FEED);
+        return end < 0 ? limit : end;
     }
 
-    private static boolean startsWithIdentifier(final ByteBuf events, final int start) {
-        if (events.writerIndex() - start < IDENTIFIER_FIELD.length) {
+    private static boolean startsWith(final ByteBuf buffer, final int start, final int limit, final byte[] prefix) {
+        if (limit - start < prefix.length) {
             return false;
         }
-        for (int i = 0; i < IDENTIFIER_FIELD.length; i++) {
-            if (events.getByte(start + i) != IDENTIFIER_FIELD[i]) {
+        for (int i = 0; i < prefix.length; i++) {
+            if (buffer.getByte(start + i) != prefix[i]) {
                 return false;
             }
         }
