--- a/src/test/java/org/lacewingstep/command/PlatformTestSite.java
+++ b/src/test/java/org/lacewingstep/command/PlatformTestSite.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
@@ -39,7 +40,9 @@
     /** Route to a prefill and a decode engine. */
     static final String ENGINE = "engine";
 
-    private static final int DEADLINE_MILLISECONDS = 3000;
+    /** Time that a call may take. */
+    static final Duration DEADLINE = Duration.ofSeconds(3);
+
     private static final String SETTINGS =
             """
             {"node":"front-a-1","ip":"127.0.0.1","internalPorts":[%d],"zone":"a","zones":{"a":"r"},"bootstrap":true,
@@ -145,7 +148,7 @@
                 .timeout(TIMEOUT)
                 .header("Request-Id", identifier)
                 .header("Token-Count", "10,10")
-                .header("Deadline-Ms", Integer.toString(DEADLINE_MILLISECONDS))
+                .header("Deadline-Ms", Long.toString(DEADLINE.toMillis()))
                 .POST(HttpRequest.BodyPublishers.ofString("a sale"))
                 .build();
         return client.send(request, HttpResponse.BodyHandlers.ofString());
@@ -156,7 +159,7 @@
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPort)) {
             socket.setSoTimeout((int) TIMEOUT.toMillis());
             final String head = "POST /" + route + "/x HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: " + nextIdentifier()
-                    + "\r\nToken-Count: 10,10\r\nDeadline-Ms: " + DEADLINE_MILLISECONDS + "\r\nConnection: close\r\n"
+                    + "\r\nToken-Count: 10,10\r\nDeadline-Ms: " + DEADLINE.toMillis() + "\r\nConnection: close\r\n"
                     + String.join("", headers) + "Content-Length: 0\r\n\r\n";
             socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
