Add failing tests for streams that the next upstream does not continue

Callers see: a stream that ends with its last chunk although pieces are missing, if it broke off and the next upstream's success without a length ends before any event; and a stream that stays silent until its deadline, if the next upstream starts it over and sends nothing more.

Cause: the end of a response without events counts as the end of the stream whatever its framing, and a withheld event ends the attempt only with its response.

--- a/src/test/java/org/lacewingstep/command/ResumedStreamTest.java
+++ b/src/test/java/org/lacewingstep/command/ResumedStreamTest.java
@@ -1,10 +1,13 @@
 package org.lacewingstep.command;
 
 import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.function.Function;
 
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -84,6 +87,31 @@
         assertThat(site.exchangesOfPair()).hasSize(2);
     }
 
+    @Test
+    @Tag("known-red")
+    void emptyResponseWithoutLengthDoesNotCompleteAStream() throws Exception {
+        respond(EVENT_1, identifier -> Reply.close("HTTP/1.1 " + sealed(identifier) + "\r\n\r\n"));
+
+        assertThat(body(site.exchangeRaw(STREAM))).isEqualTo(chunk(EVENT_1));
+    }
+
+    @Test
+    @Tag("known-red")
+    void streamThatStartsOverIsBrokenOffBeforeTheDeadline() throws Exception {
+        respond(EVENT_1, identifier -> Reply.keepOpen(unfinished(sealed(identifier), EVENT_1)));
+        final Instant sentAt = Instant.now();
+
+        assertThat(body(site.exchangeRaw(STREAM))).isEqualTo(chunk(EVENT_1));
+        assertThat(Duration.between(sentAt, Instant.now())).isLessThan(PlatformTestSite.DEADLINE);
+    }
+
+    @Test
+    void emptyResponseWithALengthCompletesAStreamAfterItsLastEvent() throws Exception {
+        respond(EVENT_1, identifier -> Reply.keepOpen(response(sealed(identifier), "")));
+
+        assertThat(site.send(STREAM).body()).isEqualTo(EVENT_1);
+    }
+
     @Test
     void streamThatIsContinuedIsComplete() throws Exception {
         respond(EVENT_1 + "id: 2\nda", identifier -> Reply.keepOpen(chunked(sealed(identifier), EVENT_2 + EVENT_3)));
