Reject a finish frame after a missing frame

Callers could see: a generation that ends as complete although its last tokens are missing.

Cause: the offset of a frame was checked for tokens only. If the frames before the finish frame were lost, the finish frame and the end mark completed the stream all the same.

Evidence: EngineFrameTest.rejectsFinishAfterAMissingFrame failed before: a finish frame with offset 3 after two tokens was a Finish, not Invalid.

Why this works: the identifier of a frame is the number of tokens generated so far, so a finish frame with a higher one shows that tokens are missing.

--- a/src/main/java/org/lacewingstep/traffic/EngineFrame.java
+++ b/src/main/java/org/lacewingstep/traffic/EngineFrame.java
@@ -45,15 +45,18 @@
         if (!attempt.toString().equals(json.path("id").asText())) {
             return new Skipped();
         }
+        final boolean hasOffset = eventIdentifier != null && eventIdentifier.matches("\\d{1,18}");
+        final long offset = hasOffset ? Long.parseLong(eventIdentifier) : 0;
         final JsonNode choice = json.path("choices").path(0);
         final String reason = choice.path("finish_reason").asText("");
         if (!reason.isEmpty() && !"null".equals(reason)) {
-            return new Finish(reason);
+            return offset > receivedTokens
+                    ? new Invalid("a frame is missing before the end at offset " + offset)
+                    : new Finish(reason);
         }
-        if (eventIdentifier == null || !eventIdentifier.matches("\\d{1,18}")) {
+        if (!hasOffset) {
             return new Invalid("a frame has no offset");
         }
-        final long offset = Long.parseLong(eventIdentifier);
         if (offset <= receivedTokens) {
             return new Skipped();
         }
--- a/src/test/java/org/lacewingstep/traffic/EngineFrameTest.java
+++ b/src/test/java/org/lacewingstep/traffic/EngineFrameTest.java
@@ -41,6 +41,13 @@
         assertThat(of("2", finish)).isEqualTo(new EngineFrame.Finish("length"));
     }
 
+    @Test
+    void rejectsFinishAfterAMissingFrame() throws Exception {
+        final String finish = "{\"id\":\"a-1.1\",\"choices\":[{\"text\":\"\",\"finish_reason\":\"length\"}]}";
+        assertThat(of("3", finish)).isInstanceOf(EngineFrame.Invalid.class);
+        assertThat(of(null, finish)).isEqualTo(new EngineFrame.Finish("length"));
+    }
+
     private static String text(final String identifier, final String word) {
         return "{\"id\":\"" + identifier + "\",\"choices\":[{\"text\":\"" + word + "\",\"finish_reason\":null}]}";
     }
