--- a/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
@@ -74,6 +74,9 @@
             STAGE,
             TENANT);
 
+    /** Statuses that promise a caller that its request was not run, besides 421. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 429, 503);
+
     private static final Logger LOGGER = LoggerFactory.getLogger(PlatformProtocol.class);
     /** Wait limit of a request without a valid {@code Deadline-Ms} header. */
     private static final Duration DEFAULT_WAIT_LIMIT = Duration.ofHours(1);
@@ -162,12 +165,14 @@
 
     @Override
     public boolean belongsToRequest(final CallerRequest callerRequest, final HttpResponse response) {
-        final String responseIdentifier = response.headers().get(REQUEST_ID);
-        if (responseIdentifier == null) {
-            // A success always names its request; one that does not may be the late copy of another response.
-            return response.status().codeClass() != HttpStatusClass.SUCCESS;
+        final Optional<String> requestIdentifier = callerIdentifier(callerRequest);
+        final Optional<String> responseIdentifier =
+                Optional.ofNullable(response.headers().get(REQUEST_ID));
+        if (requestIdentifier.isEmpty()) {
+            // An upstream rejects a request without an identifier, and has none to echo.
+            return responseIdentifier.isEmpty() && response.status().codeClass() != HttpStatusClass.SUCCESS;
         }
-        return responseIdentifier.equals(callerRequest.headers().get(REQUEST_ID));
+        return responseIdentifier.equals(requestIdentifier);
     }
 
     @Override
@@ -180,6 +185,9 @@
         if (response.headers().contains(NOT_EXECUTED) || response.status().code() == HTTP_MISDIRECTED_REQUEST) {
             return new ResponseKind.NotRun();
         }
+        if (NOT_RUN_STATUSES.contains(response.status().code())) {
+            return new ResponseKind.Unusable("the response lacks the Not-Executed header that its status requires");
+        }
         if (response.status().codeClass() != HttpStatusClass.SUCCESS) {
             return new ResponseKind.Genuine();
         }
--- a/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
@@ -1,6 +1,8 @@
 package org.lacewingstep.upstream;
 
 import java.time.Duration;
+import java.util.Map;
+import java.util.regex.Pattern;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -17,6 +19,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.lacewingstep.domain.PeerAddress;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A connection to an upstream that carries one exchange at a time; used on one event loop only.
@@ -36,6 +40,9 @@
     /** Bytes of bodies of skipped responses in an exchange. */
     private static final int MAX_SKIPPED_BYTES = 64 * 1024;
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(UpstreamConnection.class);
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
     private final PeerAddress address;
     private final Channel channel;
     private final UpstreamPool pool;
@@ -179,13 +186,12 @@
     private void readHead(final HttpResponse response) {
         if (currentExchange == null) {
             channel.close();
-        } else if (response.decoderResult().isFailure()) {
+        } else if (response.decoderResult().isFailure() || containsStatusLine(response)) {
             fail(false, "the response is not valid HTTP");
         } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skipResponse();
         } else if (!currentExchange.request().responseFilter().test(response)) {
-            reusable = false;
-            skipResponse();
+            skipForeignResponse(response);
         } else {
             succeeded = response.status().codeClass() == HttpStatusClass.SUCCESS;
             skippingResponse = false;
@@ -196,6 +202,20 @@
         }
     }
 
+    private void skipForeignResponse(final HttpResponse response) {
+        reusable = false;
+        LOGGER.atInfo()
+                .addKeyValue("step", "exchange")
+                .addKeyValue("address", address)
+                .addKeyValue("status", response.status().code())
+                .log("skipped a response that belongs to no request");
+        if (isFramed(response)) {
+            skipResponse();
+        } else {
+            fail(false, "a response that belongs to no request takes up the connection");
+        }
+    }
+
     private void skipResponse() {
         skippingResponse = true;
         skippedResponses++;
@@ -268,6 +288,23 @@
         }
     }
 
+    /** Returns whether a head broke off and continues with the status line of another response. */
+    private static boolean containsStatusLine(final HttpResponse response) {
+        if (isStatusLineIn(response.status().reasonPhrase())) {
+            return true;
+        }
+        for (final Map.Entry<String, String> header : response.headers()) {
+            if (isStatusLineIn(header.getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean isStatusLineIn(final String text) {
+        return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
+    }
+
     private static boolean isFramed(final HttpResponse response) {
         return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
     }
