Read the store on past an upstream key without a name

What callers saw: after an entry with the key "servers/ " had been written, an instance followed the registry of upstreams no more: new upstreams got no calls, and gone ones still did.

Cause: the handler of a failed decoding built the name from the key once more, and the blank name failed there again. The exception left the decoder, failed the whole page or watch, and the watch was resumed from the same revision, with the same result, without end.

Why it works: only a key that names an upstream counts as its removal, and no runtime exception of an item leaves the decoder, so that it costs this item only.

--- a/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
@@ -22,7 +22,6 @@
 import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
-import org.lacewingstep.error.RouterException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -65,12 +64,12 @@
                         decodeRolePlan(decodeValue(item)), item.path("revision").asLong()));
             }
             return decodePrefixed(item, key, deleted);
-        } catch (final IOException | IllegalArgumentException | RouterException failure) {
+        } catch (final IOException | RuntimeException failure) {
             LOGGER.atWarn()
                     .addKeyValue("step", "decode")
                     .addKeyValue("key", key)
                     .log("cannot decode an item of the store: {}", failure.getMessage());
-            return key.startsWith(UPSTREAM_PREFIX) && key.length() > UPSTREAM_PREFIX.length()
+            return namesUpstream(key)
                     ? Optional.of(new StoreChange.UpstreamUnregistered(upstreamName(key)))
                     : Optional.empty();
         }
@@ -162,6 +161,11 @@
         };
     }
 
+    private static boolean namesUpstream(final String key) {
+        return key.startsWith(UPSTREAM_PREFIX)
+                && !key.substring(UPSTREAM_PREFIX.length()).isBlank();
+    }
+
     private static UpstreamName upstreamName(final String key) {
         return new UpstreamName(key.substring(UPSTREAM_PREFIX.length()));
     }
--- a/src/standin/java/org/lacewingstep/standin/PlatformStoreStandIn.java
+++ b/src/standin/java/org/lacewingstep/standin/PlatformStoreStandIn.java
@@ -112,15 +112,12 @@
     }
 
     /**
-     * Injects a fault into the store or removes the current one.
+     * Writes an item whose value may be no base64.
      *
-     * @param newFault the fault of all further requests, {@link Fault#NONE} to remove the current fault, not null
+     * @param key the key of the item, not null
+     * @param value the value as the store returns it, not null
      */
-    public void setFault(final Fault newFault) {
-        fault = newFault;
-    }
-
-    private void putEncoded(final String key, final String value) {
+    public synchronized void putEncoded(final String key, final String value) {
         revision++;
         final ObjectNode item =
                 MAPPER.createObjectNode().put("key", key).put("value", value).put("revision", revision);
@@ -129,6 +126,15 @@
         notifyAll();
     }
 
+    /**
+     * Injects a fault into the store or removes the current one.
+     *
+     * @param newFault the fault of all further requests, {@link Fault#NONE} to remove the current fault, not null
+     */
+    public void setFault(final Fault newFault) {
+        fault = newFault;
+    }
+
     private void serve(final HttpExchange exchange) throws IOException {
         calls.incrementAndGet();
         final String path = exchange.getRequestURI().getPath();
--- a/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
@@ -75,6 +75,13 @@
                 .contains(new StoreChange.UpstreamUnregistered(new UpstreamName("i-1")));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"servers/ ", "servers/\u2003", "servers/", "op/evacuate/ ", "lacewingstep/instances/ "})
+    void keyWithoutANameIsIgnored(final String key) {
+        assertThat(PlatformStoreCodec.decode(written(key, UPSTREAM_ENTRY))).isEmpty();
+        assertThat(PlatformStoreCodec.decode(deleted(key))).isEmpty();
+    }
+
     @Test
     void aRolePlanIsReadAsItWasWritten() throws Exception {
         final RolePlan plan = new RolePlan(
