Reject store entries with numbers out of range

What callers saw: nothing yet. An entry of the registry with a number too large was taken as an upstream and got calls.

Cause: the numbers of an entry were read with conversions that cut them to their lower bits, saturate them or take zero for another type: 2^32 + 8 slots counted as 8, "born" and "coldRemainingMs" of 1e999999999 as the largest long.

Why it works: a number must have its type and fit; otherwise the entry is invalid and names no upstream. Entries without "born" or "coldRemainingMs" are read as before.

--- a/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
@@ -22,6 +22,7 @@
 import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
+import org.lacewingstep.error.Validate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -141,9 +142,7 @@
                 .properties()
                 .forEach(entry -> changes.put(
                         new UpstreamName(entry.getKey()),
-                        new RolePlan.Change(
-                                upstreamRole(entry.getValue()),
-                                entry.getValue().path("born").asLong())));
+                        new RolePlan.Change(upstreamRole(entry.getValue()), startedAtMillis(entry.getValue()))));
         return new RolePlan(new InstanceName(textField(value, "author")), changes);
     }
 
@@ -173,14 +172,14 @@
     private static RegisteredUpstream decodeUpstream(final UpstreamName name, final JsonNode entry) {
         return new RegisteredUpstream(
                 name,
-                entry.path("born").asLong(),
+                startedAtMillis(entry),
                 new ServiceName(textField(entry, "service")),
                 PeerAddress.parse(textField(entry, "address")),
                 new FailureDomainName(textField(entry, "zone")),
                 upstreamRole(entry),
                 intField(entry, "slots"),
                 isDraining(entry),
-                Duration.ofMillis(entry.path("coldRemainingMs").asLong()));
+                coldFor(entry));
     }
 
     private static boolean isDraining(final JsonNode entry) {
@@ -210,10 +209,34 @@
     }
 
     private static int intField(final JsonNode node, final String field) {
-        if (!node.path(field).isIntegralNumber()) {
-            throw new IllegalArgumentException(field + " is not an integer");
+        final JsonNode value = node.path(field);
+        if (!value.isIntegralNumber() || !value.canConvertToInt()) {
+            throw new IllegalArgumentException(field + " is not an integer of 32 bits");
         }
-        return node.path(field).asInt();
+        return value.asInt();
+    }
+
+    private static long startedAtMillis(final JsonNode entry) {
+        final JsonNode value = entry.path("born");
+        if (!value.isMissingNode() && !value.isIntegralNumber()) {
+            throw new IllegalArgumentException("born is not an integer");
+        }
+        return notNegative(value, "born");
+    }
+
+    private static Duration coldFor(final JsonNode entry) {
+        return Duration.ofMillis(notNegative(entry.path("coldRemainingMs"), "coldRemainingMs"));
+    }
+
+    /** Reads a number, zero if it is missing. */
+    private static long notNegative(final JsonNode value, final String field) {
+        if (value.isMissingNode()) {
+            return 0;
+        }
+        if (!value.isNumber() || !value.canConvertToLong()) {
+            throw new IllegalArgumentException(field + " is not a number of 64 bits");
+        }
+        return Validate.notNegative(value.asLong(), field);
     }
 
     /** Decodes the value of an item, a JSON object encoded in base64. */
--- a/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.domain.FailureDomainName;
@@ -75,6 +76,31 @@
                 .contains(new StoreChange.UpstreamUnregistered(new UpstreamName("i-1")));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "4294967304, 0, 1",
+        "1e999999999, 0, 1",
+        "8, 1e999999999, 1",
+        "8, 99999999999999999999, 1",
+        "8, -1, 1",
+        "8, '\"250\"', 1",
+        "8, 0, 1e999999999",
+        "8, 0, 99999999999999999999",
+        "8, 0, 1.5",
+        "8, 0, -1",
+        "8, 0, '\"1\"'"
+    })
+    void numberOutOfRangeUnregistersTheUpstream(final String slots, final String coldFor, final String born) {
+        final String entry =
+                """
+                {"service":"s","address":"10.0.0.9:80","zone":"z","slots":%s,"state":"ready","coldRemainingMs":%s,
+                "born":%s}"""
+                        .formatted(slots, coldFor, born);
+
+        assertThat(PlatformStoreCodec.decode(written("servers/i-1", entry)))
+                .contains(new StoreChange.UpstreamUnregistered(new UpstreamName("i-1")));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"servers/ ", "servers/\u2003", "servers/", "op/evacuate/ ", "lacewingstep/instances/ "})
     void keyWithoutANameIsIgnored(final String key) {
