Ignore upstreams whose names fit in no header

What callers saw: after an entry with a line feed in its key had been written, calls that were placed at it got no answer until their deadline (504), although a sound upstream was there.

Cause: the name is sent to the upstream in the Expect-Instance header. The header rejected it with an exception on the event loop of the call, after the control thread had placed the call, so no result of the attempt was ever reported.

Why it works: a key whose name has other characters than printable ASCII names no upstream, so no call is placed there.

--- a/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -42,6 +43,9 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String UPSTREAM_PREFIX = "servers/";
 
+    /** Key of an upstream, whose name is sent to it in a header: printable ASCII characters without spaces. */
+    private static final Pattern UPSTREAM_KEY = Pattern.compile(UPSTREAM_PREFIX + "[!-~]+");
+
     private PlatformStoreCodec() {}
 
     /**
@@ -161,11 +165,13 @@
     }
 
     private static boolean namesUpstream(final String key) {
-        return key.startsWith(UPSTREAM_PREFIX)
-                && !key.substring(UPSTREAM_PREFIX.length()).isBlank();
+        return UPSTREAM_KEY.matcher(key).matches();
     }
 
     private static UpstreamName upstreamName(final String key) {
+        if (!namesUpstream(key)) {
+            throw new IllegalArgumentException("the key names no upstream");
+        }
         return new UpstreamName(key.substring(UPSTREAM_PREFIX.length()));
     }
 
--- a/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
@@ -101,6 +101,13 @@
                 .contains(new StoreChange.UpstreamUnregistered(new UpstreamName("i-1")));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"servers/a\nb", "servers/a\u0000", "servers/\ud800", "servers/\u00e9"})
+    void upstreamWhoseNameFitsInNoHeaderIsIgnored(final String key) {
+        assertThat(PlatformStoreCodec.decode(written(key, UPSTREAM_ENTRY))).isEmpty();
+        assertThat(PlatformStoreCodec.decode(deleted(key))).isEmpty();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"servers/ ", "servers/\u2003", "servers/", "op/evacuate/ ", "lacewingstep/instances/ "})
     void keyWithoutANameIsIgnored(final String key) {
