Reject store entries whose host is no IP address

What callers saw: nothing here, where a lookup of an unknown host fails at once. Found by reading.

Cause: the host of an entry went unchecked to the connection of a call, which resolves names with a blocking lookup on the event loop that serves all callers; on a machine whose name server is silent, every call waits for it.

Evidence: PlatformStoreCodecTest.hostThatWouldHaveToBeResolved- UnregistersTheUpstream failed in its six cases, for example with "UpstreamRegistered[... address=nowhere.example:80 ...]". The time of a lookup was not measured.

Why it works: the platform's entries hold an IP address and a port; with another host the entry is invalid, for upstreams and instances.

--- a/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
@@ -12,6 +12,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.util.NetUtil;
 import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.domain.FailureDomainName;
 import org.lacewingstep.domain.Incarnation;
@@ -120,7 +121,7 @@
     private static Member decodeMember(final InstanceName instance, final JsonNode value) {
         return new Member(
                 new Incarnation(instance, value.path("incarnation").asLong()),
-                PeerAddress.parse(textField(value, "peerAddress")),
+                address(value, "peerAddress"),
                 new FailureDomainName(textField(value, "failureDomain")));
     }
 
@@ -180,7 +181,7 @@
                 name,
                 startedAtMillis(entry),
                 new ServiceName(textField(entry, "service")),
-                PeerAddress.parse(textField(entry, "address")),
+                address(entry, "address"),
                 new FailureDomainName(textField(entry, "zone")),
                 upstreamRole(entry),
                 intField(entry, "slots"),
@@ -207,6 +208,15 @@
         };
     }
 
+    /** Reads an address with an IP address as its host, because resolving a name would block the event loop. */
+    private static PeerAddress address(final JsonNode node, final String field) {
+        final PeerAddress address = PeerAddress.parse(textField(node, field));
+        if (!NetUtil.isValidIpV4Address(address.host()) && !NetUtil.isValidIpV6Address(address.host())) {
+            throw new IllegalArgumentException(field + " has no IP address");
+        }
+        return address;
+    }
+
     private static String textField(final JsonNode node, final String field) {
         if (!node.path(field).isTextual()) {
             throw new IllegalArgumentException(field + " is not a string");
--- a/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
@@ -108,6 +108,20 @@
         assertThat(PlatformStoreCodec.decode(deleted(key))).isEmpty();
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"nowhere.example:80", "10.0.0.999:80", "10.0.0.9 :80", "[::1:80", "a/b:80", "1:80"})
+    void hostThatWouldHaveToBeResolvedUnregistersTheUpstream(final String address) {
+        assertThat(PlatformStoreCodec.decode(written("servers/i-1", UPSTREAM_ENTRY.replace("10.0.0.9:8080", address))))
+                .contains(new StoreChange.UpstreamUnregistered(new UpstreamName("i-1")));
+    }
+
+    @Test
+    void addressesOfVersionSixAreRead() {
+        assertThat(PlatformStoreCodec.decode(
+                        written("servers/i-1", UPSTREAM_ENTRY.replace("10.0.0.9:8080", "[::1]:8080"))))
+                .containsInstanceOf(StoreChange.UpstreamRegistered.class);
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"servers/ ", "servers/\u2003", "servers/", "op/evacuate/ ", "lacewingstep/instances/ "})
     void keyWithoutANameIsIgnored(final String key) {
