Reject store entries longer than any sound one

What callers saw: nothing yet. An entry of a megabyte was parsed and, with the required fields in it, taken as an upstream.

Cause: entries of upstreams had no bound but the store's, a megabyte; half a million small nodes of JSON take tens of megabytes of a heap of 96 and the time of the event loop that serves callers.

Evidence: PlatformStoreCodecTest.entryOfAMegabyteUnregistersTheUpstream failed with "UpstreamRegistered[...]". The heap was not measured.

Why it works: an entry of more than 64 KB in base64 is invalid before it is decoded; sound ones are some hundred bytes. The routing document and the role plan, which grow with the site, keep the store's bound.

--- a/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
@@ -40,6 +40,10 @@
     static final String INSTANCE_PREFIX = "lacewingstep/instances/";
 
     private static final String EVACUATION_PREFIX = "op/evacuate/";
+
+    /** Longest base64 text of an upstream or an instance; entries are some hundred characters long. */
+    private static final int MAX_ENTRY_LENGTH = 64 * 1024;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(PlatformStoreCodec.class);
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String UPSTREAM_PREFIX = "servers/";
@@ -93,13 +97,13 @@
             return Optional.of(
                     deleted
                             ? new StoreChange.InstanceUnregistered(instance)
-                            : new StoreChange.InstanceRegistered(decodeMember(instance, decodeValue(item))));
+                            : new StoreChange.InstanceRegistered(decodeMember(instance, decodeEntry(item))));
         }
         if (key.startsWith(UPSTREAM_PREFIX)) {
             return Optional.of(
                     deleted
                             ? new StoreChange.UpstreamUnregistered(upstreamName(key))
-                            : new StoreChange.UpstreamRegistered(decodeUpstream(upstreamName(key), decodeValue(item))));
+                            : new StoreChange.UpstreamRegistered(decodeUpstream(upstreamName(key), decodeEntry(item))));
         }
         return Optional.empty();
     }
@@ -255,6 +259,14 @@
         return Validate.notNegative(value.asLong(), field);
     }
 
+    /** Decodes the value of an upstream or an instance. */
+    private static JsonNode decodeEntry(final JsonNode item) throws IOException {
+        if (item.path("value").asText().length() > MAX_ENTRY_LENGTH) {
+            throw new IllegalArgumentException("the value is too long");
+        }
+        return decodeValue(item);
+    }
+
     /** Decodes the value of an item, a JSON object encoded in base64. */
     private static JsonNode decodeValue(final JsonNode item) throws IOException {
         final JsonNode value =
--- a/src/test/java/org/lacewingstep/command/InvalidEntryTest.java
+++ b/src/test/java/org/lacewingstep/command/InvalidEntryTest.java
@@ -120,6 +120,7 @@
                 invalid("number with a huge exponent", "servers/odd", entry(address(80), "8", "1e999999999", "1")),
                 invalid("name with a line feed", "servers/o\ndd", soundEntry()),
                 invalid("unknown host", "servers/odd", entry("\"nowhere.example:80\"", "8", "0", "1")),
+                invalid("entry of a megabyte", "servers/odd", "[" + "[],".repeat(250_000) + "[]]"),
                 invalid("port out of range", "servers/odd", entry(address(65_536), "8", "0", "1")),
                 invalid("port beyond any integer", "servers/odd", entry("\"127.0.0.1:99999999999\"", "8", "0", "1")),
                 invalid("port zero", "servers/odd", entry(address(0), "8", "0", "1")),
--- a/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
@@ -122,6 +122,14 @@
                 .containsInstanceOf(StoreChange.UpstreamRegistered.class);
     }
 
+    @Test
+    void entryOfAMegabyteUnregistersTheUpstream() {
+        final String entry = UPSTREAM_ENTRY.replace("}", ",\"more\":[" + "[],".repeat(250_000) + "[]]}");
+
+        assertThat(PlatformStoreCodec.decode(written("servers/i-1", entry)))
+                .contains(new StoreChange.UpstreamUnregistered(new UpstreamName("i-1")));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"servers/ ", "servers/\u2003", "servers/", "op/evacuate/ ", "lacewingstep/instances/ "})
     void keyWithoutANameIsIgnored(final String key) {
