Keep the control thread alive after an error

What callers saw: nothing yet, found by reading.

Cause: the control thread caught the exceptions of steps and effects but not errors, such as a stack overflow in decoding or logging. Such an error ended the thread, and the process stayed alive without it: no call was placed and no change of the store followed.

Evidence: ControlThreadTest.errorInAnEffectOrAStepDoesNotEndTheThread waited 30 s in vain for the watch ("Expecting actual not to be null").

Why it works: an error costs the effect or the step in which it occurs, and what escapes both is caught at the loop.

--- a/src/main/java/org/lacewingstep/control/ControlThread.java
+++ b/src/main/java/org/lacewingstep/control/ControlThread.java
@@ -101,6 +101,9 @@
                 }
             } catch (final InterruptedException interruption) {
                 LOGGER.debug("control thread interrupted");
+            } catch (final RuntimeException | Error failure) {
+                // Without this thread the process would stay alive and handle nothing.
+                LOGGER.error("an event was not handled", failure);
             }
         }
     }
@@ -131,7 +134,7 @@
             final Step step = BlackboardStepper.step(board, event, clock.now());
             board = step.board();
             step.effects().forEach(this::dispatch);
-        } catch (final RuntimeException failure) {
+        } catch (final RuntimeException | Error failure) {
             LOGGER.error("step failed, the blackboard is unchanged; event {}", event, failure);
         }
     }
@@ -144,7 +147,7 @@
             } else {
                 handler.handle(effect);
             }
-        } catch (final RuntimeException failure) {
+        } catch (final RuntimeException | Error failure) {
             LOGGER.error("an effect failed: {}", effect, failure);
         }
     }
--- a/src/test/java/org/lacewingstep/control/ControlThreadTest.java
+++ b/src/test/java/org/lacewingstep/control/ControlThreadTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.AbstractList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -15,6 +16,7 @@
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Identity;
 import org.lacewingstep.blackboard.Policy;
+import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.domain.FailureDomainName;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
@@ -25,9 +27,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Tests that an unexpected error in one effect costs neither the other effects of the step nor the thread. */
+/** Tests that an unexpected error in one effect or one step costs neither the other effects nor the thread. */
 class ControlThreadTest {
     private static final FailureDomainName DOMAIN = new FailureDomainName("a");
+    private static final Member SELF =
+            new Member(new Incarnation(new InstanceName("i"), 1), new PeerAddress("127.0.0.1", 1), DOMAIN);
 
     @Test
     void failedEffectCostsOnlyItself() throws Exception {
@@ -57,6 +61,55 @@
         }
     }
 
+    @Test
+    void errorInAnEffectOrAStepDoesNotEndTheThread() throws Exception {
+        final BlockingQueue<Effect> handled = new LinkedBlockingQueue<>();
+        final ControlThread control = control(effect -> {
+            if (effect instanceof Effect.ReadStore) {
+                throw new StackOverflowError();
+            }
+            handled.add(effect);
+        });
+        control.start(new Event.SiteConfigured(policy(SELF), true));
+        try {
+            control.post(new Event.StoreChanged(
+                    new AbstractList<>() {
+                        @Override
+                        public StoreChange get(final int index) {
+                            throw new StackOverflowError();
+                        }
+
+                        @Override
+                        public int size() {
+                            return 1;
+                        }
+                    },
+                    7));
+            control.post(new Event.StoreRead(List.of(), 8, Instant.EPOCH));
+
+            awaitEffect(handled, new Effect.AwaitStoreChanges(8, Duration.ofMillis(1500)));
+        } finally {
+            control.stop();
+        }
+    }
+
+    private static ControlThread control(final EffectHandler handler) {
+        return new ControlThread(
+                Blackboard.initial(new Identity(SELF, Policy.DEFAULT)),
+                new MonotonicClock(),
+                handler,
+                new MetricRegistry());
+    }
+
+    private static void awaitEffect(final BlockingQueue<Effect> handled, final Effect expected) throws Exception {
+        final long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        Effect effect = null;
+        while (!expected.equals(effect)) {
+            effect = handled.poll(end - System.nanoTime(), TimeUnit.NANOSECONDS);
+            assertThat(effect).isNotNull();
+        }
+    }
+
     private static SitePolicy policy(final Member self) {
         return new SitePolicy(
                 self.name(),
