Skip a change of the store whose step fails

What callers saw: nothing yet, found by reading. No entry that passes the decoder is known to make a step fail.

Cause: a step that fails leaves the blackboard as it was and drops its effects. For changes of the store these include the timer that resumes the watch, so one change that a controller cannot handle would have ended the following of the store for the life of the process.

Evidence: ControlThreadTest.failedStepOfOneStoreChangeDoesNotEndTheWatch and failedStepOfOneItemOfTheStoreDoesNotEndTheReading waited 30 s in vain for the next watch ("Expecting actual not to be null"); the change is an upstream whose cold start is too long for milliseconds.

Why it works: after a failed step, each change is tried alone on the unchanged blackboard, and the event is handled without those that fail.

--- a/src/main/java/org/lacewingstep/control/ControlThread.java
+++ b/src/main/java/org/lacewingstep/control/ControlThread.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +14,7 @@
 import org.lacewingstep.blackboard.Effect;
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Step;
+import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.controller.BlackboardStepper;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -130,12 +133,46 @@
     }
 
     private void process(final Event event) {
+        if (!applyStep(event)) {
+            withoutFailingChanges(event).ifPresent(this::applyStep);
+        }
+    }
+
+    /** Applies the step of an event and returns whether it succeeded. */
+    private boolean applyStep(final Event event) {
         try (Timer.Context ignored = stepTimer.time()) {
             final Step step = BlackboardStepper.step(board, event, clock.now());
             board = step.board();
             step.effects().forEach(this::dispatch);
+            return true;
         } catch (final RuntimeException | Error failure) {
             LOGGER.error("step failed, the blackboard is unchanged; event {}", event, failure);
+            return false;
+        }
+    }
+
+    /** Removes the changes that fail from an event of the store, whose loss would end the watch of the store. */
+    private Optional<Event> withoutFailingChanges(final Event event) {
+        return switch (event) {
+            case Event.StoreRead(var content, long revision, Instant requestedAt) ->
+                Optional.of(new Event.StoreRead(succeeding(content, revision), revision, requestedAt));
+            case Event.StoreChanged(var changes, long revision) ->
+                Optional.of(new Event.StoreChanged(succeeding(changes, revision), revision));
+            default -> Optional.empty();
+        };
+    }
+
+    private List<StoreChange> succeeding(final List<StoreChange> changes, final long revision) {
+        return changes.stream().filter(change -> succeeds(change, revision)).toList();
+    }
+
+    private boolean succeeds(final StoreChange change, final long revision) {
+        try {
+            BlackboardStepper.step(board, new Event.StoreChanged(List.of(change), revision), clock.now());
+            return true;
+        } catch (final RuntimeException | Error failure) {
+            LOGGER.error("a change of the store is skipped: {}", change, failure);
+            return false;
         }
     }
 
--- a/src/test/java/org/lacewingstep/control/ControlThreadTest.java
+++ b/src/test/java/org/lacewingstep/control/ControlThreadTest.java
@@ -23,7 +23,11 @@
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.PeerAddress;
 import org.lacewingstep.domain.RegionName;
+import org.lacewingstep.domain.RegisteredUpstream;
+import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.SitePolicy;
+import org.lacewingstep.domain.UpstreamName;
+import org.lacewingstep.domain.UpstreamRole;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -61,6 +65,50 @@
         }
     }
 
+    @Test
+    void failedStepOfOneStoreChangeDoesNotEndTheWatch() throws Exception {
+        final BlockingQueue<Effect> handled = new LinkedBlockingQueue<>();
+        final ControlThread control = control(handled::add);
+        control.start(new Event.SiteConfigured(policy(SELF), true));
+        try {
+            control.post(new Event.StoreRead(List.of(), 1, Instant.EPOCH));
+            control.post(new Event.StoreChanged(
+                    List.of(
+                            registered("before", Duration.ZERO),
+                            registered("odd", Duration.ofSeconds(Long.MAX_VALUE)),
+                            registered("after", Duration.ZERO)),
+                    7));
+
+            awaitEffect(handled, new Effect.AwaitStoreChanges(7, Duration.ofMillis(1500)));
+            assertThat(control.board().serving().registry().upstreams().keySet())
+                    .containsExactlyInAnyOrder(new UpstreamName("before"), new UpstreamName("after"));
+        } finally {
+            control.stop();
+        }
+    }
+
+    @Test
+    void failedStepOfOneItemOfTheStoreDoesNotEndTheReading() throws Exception {
+        final BlockingQueue<Effect> handled = new LinkedBlockingQueue<>();
+        final ControlThread control = control(handled::add);
+        control.start(new Event.SiteConfigured(policy(SELF), true));
+        try {
+            control.post(new Event.StoreRead(
+                    List.of(
+                            registered("before", Duration.ZERO),
+                            registered("odd", Duration.ofSeconds(Long.MAX_VALUE)),
+                            registered("after", Duration.ZERO)),
+                    7,
+                    Instant.EPOCH));
+
+            awaitEffect(handled, new Effect.AwaitStoreChanges(7, Duration.ofMillis(1500)));
+            assertThat(control.board().serving().registry().upstreams().keySet())
+                    .containsExactlyInAnyOrder(new UpstreamName("before"), new UpstreamName("after"));
+        } finally {
+            control.stop();
+        }
+    }
+
     @Test
     void errorInAnEffectOrAStepDoesNotEndTheThread() throws Exception {
         final BlockingQueue<Effect> handled = new LinkedBlockingQueue<>();
@@ -110,6 +158,19 @@
         }
     }
 
+    private static StoreChange registered(final String name, final Duration coldFor) {
+        return new StoreChange.UpstreamRegistered(new RegisteredUpstream(
+                new UpstreamName(name),
+                1,
+                new ServiceName("s"),
+                new PeerAddress("127.0.0.1", 1),
+                DOMAIN,
+                UpstreamRole.PLAIN,
+                1,
+                false,
+                coldFor));
+    }
+
     private static SitePolicy policy(final Member self) {
         return new SitePolicy(
                 self.name(),
