Read the membership past an invalid lease or instance

What callers saw: nothing yet, found by reading and shown by a test.

Cause: one key under the prefix of the leases that names no process, or one listed instance without a name, failed the reading of all leases or of the whole instance list, each time, so that instances that joined or ended were no longer noticed.

Evidence: EtcdAdapterTest.invalidLeaseOrInstanceDoesNotHideTheOthers waited 30 s in vain for the leases ("Expecting actual not to be null").

Why it works: each entry is decoded alone, and an invalid one is skipped with a line in the log. A listed incarnation must be an integer that fits; before, another value counted as another process.

--- a/src/main/java/org/lacewingstep/etcd/EtcdAdapter.java
+++ b/src/main/java/org/lacewingstep/etcd/EtcdAdapter.java
@@ -21,6 +21,8 @@
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Roster;
 import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.error.RouterException;
+import org.lacewingstep.error.Validate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import ratpack.exec.ExecController;
@@ -177,8 +179,8 @@
                         .orElse(new Event.RosterRead(Roster.EMPTY, 0))));
         execute("reading the leases", () -> store.readAll(StoreKeys.LEASE_PREFIX), values -> {
             final Set<Incarnation> leased = new HashSet<>();
-            values.forEach(
-                    value -> leased.add(Incarnation.parse(value.key().substring(StoreKeys.LEASE_PREFIX.length()))));
+            values.forEach(value ->
+                    addValid(leased, () -> Incarnation.parse(value.key().substring(StoreKeys.LEASE_PREFIX.length()))));
             events.accept(new Event.LeasesRead(leased, requestedAt));
         });
         execute(
@@ -192,12 +194,28 @@
     private static Set<Incarnation> parseInstanceList(final JsonNode list) {
         final Set<Incarnation> listed = new HashSet<>();
         for (final JsonNode instance : list.path("instances")) {
-            final InstanceName name = new InstanceName(instance.path("name").asText());
-            listed.add(new Incarnation(name, instance.path("incarnation").asLong()));
+            addValid(listed, () -> decodeInstance(instance));
         }
         return listed;
     }
 
+    private static Incarnation decodeInstance(final JsonNode instance) {
+        final JsonNode number = instance.path("incarnation");
+        Validate.isTrue(number.isIntegralNumber() && number.canConvertToLong(), "incarnation", "a number of 64 bits");
+        return new Incarnation(new InstanceName(instance.path("name").asText()), number.asLong());
+    }
+
+    /** Adds a process that another one has listed; an invalid entry must not hide the others. */
+    private static void addValid(final Set<Incarnation> processes, final Supplier<Incarnation> decode) {
+        try {
+            processes.add(decode.get());
+        } catch (final RouterException failure) {
+            LOGGER.atWarn()
+                    .addKeyValue("step", "decode")
+                    .log("skipped an invalid entry of the membership: {}", failure.getMessage());
+        }
+    }
+
     /**
      * Renews the lease of this process, or requests a new one.
      *
