Keep the sender of a peer alive after a failed message

What callers saw: nothing yet, found by reading. No message of today is known to fail in its encoding.

Cause: only transport errors ended at the sender of a peer. Another exception, such as of a relay's change that has no encoding, ended its thread without marking it closed, so that it was never replaced and all later messages to this peer were dropped.

Evidence: PeerNetworkTest.messageThatCannotBeEncodedDoesNotEndTheSending sent 30 further messages in 30 s, of which none arrived ("but was: null").

Why it works: any exception of a message drops the connection like a transport error, and the next message opens a new one.

--- a/src/main/java/org/lacewingstep/peer/PeerSender.java
+++ b/src/main/java/org/lacewingstep/peer/PeerSender.java
@@ -118,7 +118,7 @@
             }
             sentOnConnection++;
             sentMessages.inc();
-        } catch (final TException failure) {
+        } catch (final TException | RuntimeException failure) {
             LOGGER.debug("could not send to {}: {}", peer.name(), failure.getMessage());
             dropConnection();
         }
