Fuzz the store's decoder with odd keys and fields

Deep nesting, long and huge numbers, addresses out of range and odd names, each in each field and under each prefix; 2000 tries with a fixed seed pass. Added after the fixes, so it did not fail first.

--- a/src/test/java/org/lacewingstep/platform/DecoderFuzzTest.java
+++ b/src/test/java/org/lacewingstep/platform/DecoderFuzzTest.java
@@ -28,6 +28,7 @@
 /** Tests that foreign bytes are rejected with the errors that callers of the decoders expect, and with no others. */
 class DecoderFuzzTest {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int NESTING = 20_000;
     private static final int TRIES = 2000;
     private static final String ROUTING =
             """
@@ -87,6 +88,45 @@
                 .isNotNull();
     }
 
+    @Property(tries = TRIES, seed = "6", shrinking = ShrinkingMode.OFF)
+    void oddKeysAndFieldsOfTheStore(
+            @ForAll @IntRange(max = 4) final int prefix,
+            @ForAll @Size(max = 12) final String name,
+            @ForAll @IntRange(max = 8) final int field,
+            @ForAll @IntRange(max = 14) final int odd) {
+        final String[] prefixes = {
+            "servers/", "lacewingstep/instances/", "op/evacuate/", "op/config", "lacewingstep/roles"
+        };
+        final String[] fields = {
+            "service", "address", "zone", "slots", "state", "stage", "born", "coldRemainingMs", "changes"
+        };
+        final String[] values = {
+            "[".repeat(NESTING),
+            "{\"a\":".repeat(NESTING),
+            "9".repeat(5000),
+            "9".repeat(900),
+            "-1",
+            "1e999999999",
+            "-1e999999999",
+            "1e-999999999",
+            "NaN",
+            "null",
+            "\"10.0.0.9:0\"",
+            "\"10.0.0.9:65536\"",
+            "\"10.0.0.9:99999999999\"",
+            "\"" + "a".repeat(100_000) + "\"",
+            "[" + "[],".repeat(10_000) + "[]]"
+        };
+        // The last of two fields with the same name counts.
+        final String value = UPSTREAM.replace("}", ",\"%s\":%s}".formatted(fields[field], values[odd]));
+
+        assertThat(PlatformStoreCodec.decode(MAPPER.createObjectNode()
+                        .put("key", prefixes[prefix] + name)
+                        .put("value", Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)))
+                        .put("revision", 1)))
+                .isNotNull();
+    }
+
     @Property(tries = TRIES, seed = "3", shrinking = ShrinkingMode.OFF)
     void settings(@ForAll @IntRange(max = 500) final int at, @ForAll @Size(max = 6) final byte[] replacement) {
         try {
