--- a/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
@@ -7,10 +7,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.util.NetUtil;
 import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.domain.FailureDomainName;
 import org.lacewingstep.domain.Incarnation;
@@ -22,7 +24,7 @@
 import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
-import org.lacewingstep.error.RouterException;
+import org.lacewingstep.error.Validate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,10 +40,17 @@
     static final String INSTANCE_PREFIX = "lacewingstep/instances/";
 
     private static final String EVACUATION_PREFIX = "op/evacuate/";
+
+    /** Longest base64 text of an upstream or an instance; entries are some hundred characters long. */
+    private static final int MAX_ENTRY_LENGTH = 64 * 1024;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(PlatformStoreCodec.class);
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String UPSTREAM_PREFIX = "servers/";
 
+    /** Key of an upstream, whose name is sent to it in a header: printable ASCII characters without spaces. */
+    private static final Pattern UPSTREAM_KEY = Pattern.compile(UPSTREAM_PREFIX + "[!-~]+");
+
     private PlatformStoreCodec() {}
 
     /**
@@ -65,12 +74,12 @@
                         decodeRolePlan(decodeValue(item)), item.path("revision").asLong()));
             }
             return decodePrefixed(item, key, deleted);
-        } catch (final IOException | IllegalArgumentException | RouterException failure) {
+        } catch (final IOException | RuntimeException failure) {
             LOGGER.atWarn()
                     .addKeyValue("step", "decode")
                     .addKeyValue("key", key)
                     .log("cannot decode an item of the store: {}", failure.getMessage());
-            return key.startsWith(UPSTREAM_PREFIX) && key.length() > UPSTREAM_PREFIX.length()
+            return namesUpstream(key)
                     ? Optional.of(new StoreChange.UpstreamUnregistered(upstreamName(key)))
                     : Optional.empty();
         }
@@ -88,13 +97,13 @@
             return Optional.of(
                     deleted
                             ? new StoreChange.InstanceUnregistered(instance)
-                            : new StoreChange.InstanceRegistered(decodeMember(instance, decodeValue(item))));
+                            : new StoreChange.InstanceRegistered(decodeMember(instance, decodeEntry(item))));
         }
         if (key.startsWith(UPSTREAM_PREFIX)) {
             return Optional.of(
                     deleted
                             ? new StoreChange.UpstreamUnregistered(upstreamName(key))
-                            : new StoreChange.UpstreamRegistered(decodeUpstream(upstreamName(key), decodeValue(item))));
+                            : new StoreChange.UpstreamRegistered(decodeUpstream(upstreamName(key), decodeEntry(item))));
         }
         return Optional.empty();
     }
@@ -116,7 +125,7 @@
     private static Member decodeMember(final InstanceName instance, final JsonNode value) {
         return new Member(
                 new Incarnation(instance, value.path("incarnation").asLong()),
-                PeerAddress.parse(textField(value, "peerAddress")),
+                address(value, "peerAddress"),
                 new FailureDomainName(textField(value, "failureDomain")));
     }
 
@@ -142,9 +151,7 @@
                 .properties()
                 .forEach(entry -> changes.put(
                         new UpstreamName(entry.getKey()),
-                        new RolePlan.Change(
-                                upstreamRole(entry.getValue()),
-                                entry.getValue().path("born").asLong())));
+                        new RolePlan.Change(upstreamRole(entry.getValue()), startedAtMillis(entry.getValue()))));
         return new RolePlan(new InstanceName(textField(value, "author")), changes);
     }
 
@@ -162,21 +169,28 @@
         };
     }
 
+    private static boolean namesUpstream(final String key) {
+        return UPSTREAM_KEY.matcher(key).matches();
+    }
+
     private static UpstreamName upstreamName(final String key) {
+        if (!namesUpstream(key)) {
+            throw new IllegalArgumentException("the key names no upstream");
+        }
         return new UpstreamName(key.substring(UPSTREAM_PREFIX.length()));
     }
 
     private static RegisteredUpstream decodeUpstream(final UpstreamName name, final JsonNode entry) {
         return new RegisteredUpstream(
                 name,
-                entry.path("born").asLong(),
+                startedAtMillis(entry),
                 new ServiceName(textField(entry, "service")),
-                PeerAddress.parse(textField(entry, "address")),
+                address(entry, "address"),
                 new FailureDomainName(textField(entry, "zone")),
                 upstreamRole(entry),
                 intField(entry, "slots"),
                 isDraining(entry),
-                Duration.ofMillis(entry.path("coldRemainingMs").asLong()));
+                coldFor(entry));
     }
 
     private static boolean isDraining(final JsonNode entry) {
@@ -198,6 +212,15 @@
         };
     }
 
+    /** Reads an address with an IP address as its host, because resolving a name would block the event loop. */
+    private static PeerAddress address(final JsonNode node, final String field) {
+        final PeerAddress address = PeerAddress.parse(textField(node, field));
+        if (!NetUtil.isValidIpV4Address(address.host()) && !NetUtil.isValidIpV6Address(address.host())) {
+            throw new IllegalArgumentException(field + " has no IP address");
+        }
+        return address;
+    }
+
     private static String textField(final JsonNode node, final String field) {
         if (!node.path(field).isTextual()) {
             throw new IllegalArgumentException(field + " is not a string");
@@ -206,10 +229,42 @@
     }
 
     private static int intField(final JsonNode node, final String field) {
-        if (!node.path(field).isIntegralNumber()) {
-            throw new IllegalArgumentException(field + " is not an integer");
+        final JsonNode value = node.path(field);
+        if (!value.isIntegralNumber() || !value.canConvertToInt()) {
+            throw new IllegalArgumentException(field + " is not an integer of 32 bits");
+        }
+        return value.asInt();
+    }
+
+    private static long startedAtMillis(final JsonNode entry) {
+        final JsonNode value = entry.path("born");
+        if (!value.isMissingNode() && !value.isIntegralNumber()) {
+            throw new IllegalArgumentException("born is not an integer");
+        }
+        return notNegative(value, "born");
+    }
+
+    private static Duration coldFor(final JsonNode entry) {
+        return Duration.ofMillis(notNegative(entry.path("coldRemainingMs"), "coldRemainingMs"));
+    }
+
+    /** Reads a number, zero if it is missing. */
+    private static long notNegative(final JsonNode value, final String field) {
+        if (value.isMissingNode()) {
+            return 0;
+        }
+        if (!value.isNumber() || !value.canConvertToLong()) {
+            throw new IllegalArgumentException(field + " is not a number of 64 bits");
+        }
+        return Validate.notNegative(value.asLong(), field);
+    }
+
+    /** Decodes the value of an upstream or an instance. */
+    private static JsonNode decodeEntry(final JsonNode item) throws IOException {
+        if (item.path("value").asText().length() > MAX_ENTRY_LENGTH) {
+            throw new IllegalArgumentException("the value is too long");
         }
-        return node.path(field).asInt();
+        return decodeValue(item);
     }
 
     /** Decodes the value of an item, a JSON object encoded in base64. */
--- a/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformStoreCodecTest.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.domain.FailureDomainName;
@@ -75,6 +76,67 @@
                 .contains(new StoreChange.UpstreamUnregistered(new UpstreamName("i-1")));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "4294967304, 0, 1",
+        "1e999999999, 0, 1",
+        "8, 1e999999999, 1",
+        "8, 99999999999999999999, 1",
+        "8, -1, 1",
+        "8, '\"250\"', 1",
+        "8, 0, 1e999999999",
+        "8, 0, 99999999999999999999",
+        "8, 0, 1.5",
+        "8, 0, -1",
+        "8, 0, '\"1\"'"
+    })
+    void numberOutOfRangeUnregistersTheUpstream(final String slots, final String coldFor, final String born) {
+        final String entry =
+                """
+                {"service":"s","address":"10.0.0.9:80","zone":"z","slots":%s,"state":"ready","coldRemainingMs":%s,
+                "born":%s}"""
+                        .formatted(slots, coldFor, born);
+
+        assertThat(PlatformStoreCodec.decode(written("servers/i-1", entry)))
+                .contains(new StoreChange.UpstreamUnregistered(new UpstreamName("i-1")));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"servers/a\nb", "servers/a\u0000", "servers/\ud800", "servers/\u00e9"})
+    void upstreamWhoseNameFitsInNoHeaderIsIgnored(final String key) {
+        assertThat(PlatformStoreCodec.decode(written(key, UPSTREAM_ENTRY))).isEmpty();
+        assertThat(PlatformStoreCodec.decode(deleted(key))).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"nowhere.example:80", "10.0.0.999:80", "10.0.0.9 :80", "[::1:80", "a/b:80", "1:80"})
+    void hostThatWouldHaveToBeResolvedUnregistersTheUpstream(final String address) {
+        assertThat(PlatformStoreCodec.decode(written("servers/i-1", UPSTREAM_ENTRY.replace("10.0.0.9:8080", address))))
+                .contains(new StoreChange.UpstreamUnregistered(new UpstreamName("i-1")));
+    }
+
+    @Test
+    void addressesOfVersionSixAreRead() {
+        assertThat(PlatformStoreCodec.decode(
+                        written("servers/i-1", UPSTREAM_ENTRY.replace("10.0.0.9:8080", "[::1]:8080"))))
+                .containsInstanceOf(StoreChange.UpstreamRegistered.class);
+    }
+
+    @Test
+    void entryOfAMegabyteUnregistersTheUpstream() {
+        final String entry = UPSTREAM_ENTRY.replace("}", ",\"more\":[" + "[],".repeat(250_000) + "[]]}");
+
+        assertThat(PlatformStoreCodec.decode(written("servers/i-1", entry)))
+                .contains(new StoreChange.UpstreamUnregistered(new UpstreamName("i-1")));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"servers/ ", "servers/\u2003", "servers/", "op/evacuate/ ", "lacewingstep/instances/ "})
+    void keyWithoutANameIsIgnored(final String key) {
+        assertThat(PlatformStoreCodec.decode(written(key, UPSTREAM_ENTRY))).isEmpty();
+        assertThat(PlatformStoreCodec.decode(deleted(key))).isEmpty();
+    }
+
     @Test
     void aRolePlanIsReadAsItWasWritten() throws Exception {
         final RolePlan plan = new RolePlan(
