Judge sound runs in the soak and inject further faults by name

Callers saw streams end early beside configuration changes, though their upstreams were sound. The soak accepted every response that broke off, so it could not find this. It now records what it disturbs and when; a request that ran only at undisturbed upstreams, at an undisturbed instance, must be answered completely.

The new faults are injected only if they are named, from random draws of their own, so the basic faults of each seed stay the same.

--- /dev/null
+++ b/src/standin/java/org/lacewingstep/soak/AdditionalFault.java
@@ -0,0 +1,17 @@
+package org.lacewingstep.soak;
+
+/** A kind of fault that a soak injects only if the kind is named at its start. */
+public enum AdditionalFault {
+    /** Upstreams pause for about a second in a response. */
+    SILENCE,
+    /** Upstreams write an earlier rejection again on the same connection. */
+    REPEATED_REFUSAL,
+    /** Event streams break off and their continuation receives an error. */
+    BROKEN_STREAM,
+    /** Another writer leaves an unusable entry among those of the upstreams. */
+    ODD_ENTRY,
+    /** A part of some prompts crashes every upstream that starts to respond. */
+    CRASHING_PART,
+    /** Several configuration changes follow each other: routes are added and all keys of a team are withdrawn. */
+    CONFIGURATION
+}
--- a/src/standin/java/org/lacewingstep/soak/FaultProxy.java
+++ b/src/standin/java/org/lacewingstep/soak/FaultProxy.java
@@ -14,6 +14,7 @@
     private static final int BUFFER_BYTES = 8192;
     private static final long DELAY_MILLISECONDS = 120;
 
+    private final Set<Integer> deadPorts = ConcurrentHashMap.newKeySet();
     private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
     private final ServerSocket server;
     private final int targetPort;
@@ -47,6 +48,11 @@
         mode = newMode;
     }
 
+    /** Returns whether the connection that the target sees from the given port has dropped bytes. */
+    boolean isDead(final int portAtTarget) {
+        return deadPorts.contains(portAtTarget);
+    }
+
     /** Resets all open connections. */
     void reset() {
         openSockets.forEach(FaultProxy::abort);
@@ -74,6 +80,7 @@
             final Socket targetSocket = new Socket(InetAddress.getLoopbackAddress(), targetPort);
             clientSocket.setTcpNoDelay(true);
             targetSocket.setTcpNoDelay(true);
+            deadPorts.remove(targetSocket.getLocalPort());
             openSockets.add(clientSocket);
             openSockets.add(targetSocket);
             Thread.ofVirtual().start(() -> pump(clientSocket, targetSocket, Mode.DROP_TO_TARGET));
@@ -92,7 +99,10 @@
             final OutputStream output = to.getOutputStream();
             for (int length = input.read(buffer); length >= 0; length = input.read(buffer)) {
                 final Mode currentMode = mode;
-                dropping = dropping || currentMode == droppingMode;
+                if (currentMode == droppingMode) {
+                    dropping = true;
+                    deadPorts.add((droppingMode == Mode.DROP_TO_TARGET ? to : from).getLocalPort());
+                }
                 if (currentMode == Mode.DELAY) {
                     Thread.sleep(DELAY_MILLISECONDS);
                 }
--- a/src/standin/java/org/lacewingstep/soak/Soak.java
+++ b/src/standin/java/org/lacewingstep/soak/Soak.java
@@ -4,7 +4,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** Runs soak tests of instance processes with callers and upstreams, under faults that a seed determines. */
 public final class Soak {
@@ -21,15 +24,18 @@
     /**
      * Runs one soak per seed, in sequence; exits with 0 only if none of them has a violation.
      *
-     * @param arguments the first seed, the number of seeds, the seconds of fault injection, the number of instances
+     * @param arguments the first seed, the number of seeds, the seconds of fault injection, the number of instances,
+     *     and the names of the additional faults to inject
      */
     public static void main(final String... arguments) throws Exception {
         final long firstSeed = Long.parseLong(arguments[0]);
         final int seedCount = Integer.parseInt(arguments[1]);
+        final Set<AdditionalFault> additionalFaults =
+                Arrays.stream(arguments).skip(4).map(AdditionalFault::valueOf).collect(Collectors.toUnmodifiableSet());
         boolean passed = true;
         for (long seed = firstSeed; seed < firstSeed + seedCount; seed++) {
             final List<String> violations =
-                    run(seed, 1000L * Integer.parseInt(arguments[2]), Integer.parseInt(arguments[3]));
+                    run(seed, 1000L * Integer.parseInt(arguments[2]), Integer.parseInt(arguments[3]), additionalFaults);
             violations.forEach(System.out::println);
             passed &= violations.isEmpty();
         }
@@ -42,11 +48,16 @@
      * @param seed the seed of the random faults and requests
      * @param faultMilliseconds the duration of fault injection in milliseconds
      * @param instanceCount the number of instance processes
+     * @param additionalFaults the kinds of faults to inject besides the basic ones, not null
      * @return the violations of guarantees to callers, empty if there are none
      * @throws IOException if a process cannot be started
      * @throws InterruptedException if the thread is interrupted
      */
-    public static List<String> run(final long seed, final long faultMilliseconds, final int instanceCount)
+    public static List<String> run(
+            final long seed,
+            final long faultMilliseconds,
+            final int instanceCount,
+            final Set<AdditionalFault> additionalFaults)
             throws IOException, InterruptedException {
         final Path folder = Files.createTempDirectory("lacewingstep-soak-" + seed + "-");
         final SoakLedger ledger = new SoakLedger();
@@ -58,11 +69,12 @@
             }
             site.awaitReady();
             for (int clientNumber = 0; clientNumber < instanceCount * CLIENTS_PER_INSTANCE; clientNumber++) {
-                final SoakClient client = new SoakClient(clientNumber, seed, site, ledger);
+                final SoakClient client = new SoakClient(
+                        clientNumber, seed, additionalFaults.contains(AdditionalFault.CRASHING_PART), site, ledger);
                 clients.add(client);
                 threads.add(Thread.ofVirtual().start(client));
             }
-            new SoakFaults(seed, site).run(faultMilliseconds);
+            new SoakFaults(seed, additionalFaults, site, ledger).run(faultMilliseconds);
             site.awaitReady();
             checkRecovery(ledger);
             clients.forEach(SoakClient::stop);
--- a/src/standin/java/org/lacewingstep/soak/SoakFaults.java
+++ b/src/standin/java/org/lacewingstep/soak/SoakFaults.java
@@ -5,16 +5,32 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
 
-import org.lacewingstep.soak.SoakUpstream.UpstreamFault;
 import org.lacewingstep.standin.PlatformStoreStandIn.Fault;
 
 /** Injects overlapping faults in a seeded random order and repairs each after a random delay. */
 final class SoakFaults {
+    private static final int MIN_SILENCE_MILLISECONDS = 700;
+    private static final int SILENCE_SPREAD_MILLISECONDS = 600;
     private static final int MAX_PAUSE_MILLISECONDS = 900;
     private static final int MAX_FAULT_MILLISECONDS = 3500;
     private static final int SHUTDOWN_TIMEOUT_MILLISECONDS = 9000;
 
+    private static final List<String> ODD_ENTRIES = List.of(
+            "[".repeat(20_000) + "]".repeat(20_000),
+            "{\"a\":".repeat(5_000) + "1" + "}".repeat(5_000),
+            oddEntry("\"slots\":1e999999999,\"address\":\"127.0.0.1:9\""),
+            oddEntry("\"slots\":" + "9".repeat(2_000) + ",\"address\":\"127.0.0.1:9\""),
+            oddEntry("\"slots\":99999999999999999999,\"address\":\"127.0.0.1:9\""),
+            oddEntry("\"slots\":50,\"address\":\"127.0.0.1:99999\""),
+            oddEntry("\"slots\":50,\"address\":\"127.0.0.1:-1\""),
+            oddEntry("\"slots\":50,\"address\":\"127.0.0.1:99999999999\""));
+
+    private final List<AdditionalFault> additionalFaults;
+    private final Random additionalRandom;
+    private final SoakLedger ledger;
     private final List<Repair> pendingRepairs = new ArrayList<>();
     private final boolean[] faultyInstances;
     private final boolean[] faultyUpstreams;
@@ -22,6 +38,7 @@
     private final SoakSite site;
 
     private boolean storeFaulty;
+    private int oddEntryCount;
     private int replacementCount;
 
     /** The repair of a fault, due at a time of {@link SoakClock} in milliseconds. */
@@ -32,7 +49,22 @@
         void run() throws IOException, InterruptedException;
     }
 
-    SoakFaults(final long seed, final SoakSite site) {
+    /**
+     * Creates the faults of one soak.
+     *
+     * @param seed the seed; the basic faults that it determines do not depend on the additional faults
+     * @param additionalFaults the kinds of faults to inject besides the basic ones
+     * @param site the site
+     * @param ledger the ledger that learns what was disturbed when
+     */
+    SoakFaults(
+            final long seed,
+            final Set<AdditionalFault> additionalFaults,
+            final SoakSite site,
+            final SoakLedger ledger) {
+        this.additionalFaults = List.copyOf(new TreeSet<>(additionalFaults));
+        this.additionalRandom = new Random(seed + 1);
+        this.ledger = ledger;
         this.random = new Random(seed);
         this.site = site;
         this.faultyInstances = new boolean[site.instanceCount()];
@@ -48,6 +80,9 @@
         final long end = SoakClock.now() + durationMilliseconds;
         while (SoakClock.now() < end) {
             injectRandomFault();
+            if (!additionalFaults.isEmpty()) {
+                injectAdditionalFault(additionalFaults.get(additionalRandom.nextInt(additionalFaults.size())));
+            }
             Thread.sleep(1 + random.nextInt(MAX_PAUSE_MILLISECONDS));
             runDueRepairs(SoakClock.now());
         }
@@ -70,6 +105,48 @@
         }
     }
 
+    private void injectAdditionalFault(final AdditionalFault kind) {
+        switch (kind) {
+            case SILENCE ->
+                injectUpstreamFault(
+                        additionalRandom.nextInt(faultyUpstreams.length),
+                        new UpstreamFault.Silent(
+                                additionalRandom.nextInt(SoakUpstream.EVENT_COUNT + 1) - 1,
+                                MIN_SILENCE_MILLISECONDS + additionalRandom.nextInt(SILENCE_SPREAD_MILLISECONDS)),
+                        additionalRandom);
+            case REPEATED_REFUSAL ->
+                injectUpstreamFault(
+                        additionalRandom.nextInt(faultyUpstreams.length),
+                        new UpstreamFault.RepeatsRefusal(additionalRandom.nextBoolean()),
+                        additionalRandom);
+            case BROKEN_STREAM -> {
+                for (int index = SoakSite.FIRST_DECODE_UPSTREAM; index < faultyUpstreams.length; index++) {
+                    injectUpstreamFault(index, new UpstreamFault.BreaksStreams(), additionalRandom);
+                }
+            }
+            case ODD_ENTRY -> {
+                ledger.recordActedFault("odd entries");
+                oddEntryCount++;
+                site.store()
+                        .put(
+                                "servers/odd-" + oddEntryCount,
+                                ODD_ENTRIES.get(additionalRandom.nextInt(ODD_ENTRIES.size())));
+            }
+            case CONFIGURATION -> {
+                ledger.recordActedFault("configuration changes");
+                site.changeConfiguration(additionalRandom);
+            }
+            default -> {
+                // The requests themselves inject this fault.
+            }
+        }
+    }
+
+    private static String oddEntry(final String fields) {
+        return "{\"service\":\"ledger\",\"zone\":\"z0\",\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":1,\"born\":1,"
+                + fields + "}";
+    }
+
     /** Draws a key; returns "none" for keys that end in 0, so that the initial keys stay valid. */
     private String randomKeyToWithdraw() {
         final String key = site.randomKey(random);
@@ -84,17 +161,21 @@
         faultyInstances[index] = true;
         switch (random.nextInt(4)) {
             case 0 -> {
+                ledger.disturbances().begin(SoakDisturbances.instance(index), SoakClock.now());
                 site.signal(index, "KILL");
                 scheduleRepair("start " + index, () -> restart(index));
             }
             case 1 -> {
+                ledger.disturbances().begin(SoakDisturbances.plannedStop(index), SoakClock.now());
                 site.signal(index, "TERM");
                 scheduleRepair("start " + index, () -> restart(index));
             }
             case 2 -> {
+                ledger.disturbances().begin(SoakDisturbances.instance(index), SoakClock.now());
                 site.signal(index, "STOP");
                 scheduleRepair("continue " + index, () -> {
                     site.signal(index, "CONT");
+                    ledger.disturbances().end(SoakDisturbances.instance(index), SoakClock.now());
                     faultyInstances[index] = false;
                 });
             }
@@ -108,17 +189,25 @@
     private void restart(final int index) throws IOException, InterruptedException {
         site.awaitExit(index, SHUTDOWN_TIMEOUT_MILLISECONDS);
         site.startInstance(index);
+        ledger.disturbances().end(SoakDisturbances.instance(index), SoakClock.now());
+        ledger.disturbances().end(SoakDisturbances.plannedStop(index), SoakClock.now());
         faultyInstances[index] = false;
     }
 
     private void injectUpstreamFault() {
         final int index = random.nextInt(faultyUpstreams.length);
+        if (!faultyUpstreams[index]) {
+            final List<UpstreamFault> faults = UpstreamFault.BASIC_FAULTS;
+            injectUpstreamFault(index, faults.get(random.nextInt(faults.size())), random);
+        }
+    }
+
+    private void injectUpstreamFault(final int index, final UpstreamFault fault, final Random repairRandom) {
         if (!faultyUpstreams[index]) {
             faultyUpstreams[index] = true;
-            final UpstreamFault[] faults = UpstreamFault.values();
-            site.upstream(index).setFault(faults[1 + random.nextInt(faults.length - 1)]);
-            scheduleRepair("upstream " + index, () -> {
-                site.upstream(index).setFault(UpstreamFault.NONE);
+            site.upstream(index).setFault(fault);
+            scheduleRepair("upstream " + index, repairRandom, () -> {
+                site.upstream(index).setFault(new UpstreamFault.None());
                 faultyUpstreams[index] = false;
             });
         }
@@ -127,14 +216,22 @@
     private void injectConnectionFault() {
         final int index = random.nextInt(faultyUpstreams.length + 1);
         final FaultProxy proxy = index == faultyUpstreams.length ? site.storeProxy() : site.upstreamProxy(index);
+        final String name = index == faultyUpstreams.length
+                ? SoakDisturbances.STORE_CONNECTIONS
+                : SoakDisturbances.connections(index);
         final FaultProxy.Mode[] modes = FaultProxy.Mode.values();
         final int modeIndex = random.nextInt(modes.length);
         if (modeIndex == 0) {
+            ledger.disturbances().strike(name, SoakClock.now());
             proxy.reset();
             return;
         }
+        ledger.disturbances().begin(name, SoakClock.now());
         proxy.setMode(modes[modeIndex]);
-        scheduleRepair("connections " + index, () -> proxy.setMode(FaultProxy.Mode.PASS));
+        scheduleRepair("connections " + index, () -> {
+            proxy.setMode(FaultProxy.Mode.PASS);
+            ledger.disturbances().end(name, SoakClock.now());
+        });
     }
 
     private void injectStoreFault() {
@@ -144,13 +241,16 @@
         final Fault[] faults = Fault.values();
         final int faultIndex = random.nextInt(faults.length);
         if (faultIndex == 0) {
+            ledger.disturbances().strike(SoakDisturbances.STORE, SoakClock.now());
             site.store().dropHistory();
             return;
         }
         storeFaulty = true;
+        ledger.disturbances().begin(SoakDisturbances.STORE, SoakClock.now());
         site.store().setFault(faults[faultIndex]);
         scheduleRepair("store", () -> {
             site.store().setFault(Fault.NONE);
+            ledger.disturbances().end(SoakDisturbances.STORE, SoakClock.now());
             storeFaulty = false;
         });
     }
@@ -166,16 +266,18 @@
         replacementCount++;
         final String newIdentifier = "i-" + index + "-" + replacementCount;
         scheduleRepair("replace " + index, () -> {
-            site.store().delete("servers/" + site.upstream(index).identifier());
-            site.upstream(index).replaceIdentifier(newIdentifier);
-            site.writeUpstreamEntry(index, "ready");
+            site.replaceUpstream(index, newIdentifier);
             faultyUpstreams[index] = false;
         });
     }
 
     private void scheduleRepair(final String description, final RepairAction action) {
+        scheduleRepair(description, random, action);
+    }
+
+    private void scheduleRepair(final String description, final Random repairRandom, final RepairAction action) {
         pendingRepairs.add(
-                new Repair(SoakClock.now() + 1 + random.nextInt(MAX_FAULT_MILLISECONDS), description, action));
+                new Repair(SoakClock.now() + 1 + repairRandom.nextInt(MAX_FAULT_MILLISECONDS), description, action));
     }
 
     private void runDueRepairs(final long now) throws IOException, InterruptedException {
--- a/src/standin/java/org/lacewingstep/soak/SoakLedger.java
+++ b/src/standin/java/org/lacewingstep/soak/SoakLedger.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Records what callers and upstreams observe, and detects violations of the guarantees to callers.
@@ -17,13 +18,24 @@
     /** Time within which all instances reject a withdrawn key; equals {@code revokeMs} in the instance settings. */
     static final long WITHDRAWAL_MILLISECONDS = 5000;
 
+    /** Time within which a request that runs at sound upstreams must be answered; its deadline lies well after it. */
+    private static final long SOUND_RUN_MILLISECONDS = 2800;
+
+    private final Map<String, Integer> actedFaults = new ConcurrentHashMap<>();
+    private final CrashingPart crashingPart = new CrashingPart();
+    private final SoakDisturbances disturbances = new SoakDisturbances();
     private final Set<String> refusedRequests = ConcurrentHashMap.newKeySet();
-    private final Map<String, Integer> runCounts = new ConcurrentHashMap<>();
-    private final Map<String, Long> sentAt = new ConcurrentHashMap<>();
+    private final Map<String, Queue<Integer>> runs = new ConcurrentHashMap<>();
+    private final Set<String> runsOnDeadConnections = ConcurrentHashMap.newKeySet();
+    private final Map<String, SentRequest> sentRequests = new ConcurrentHashMap<>();
+    private final AtomicInteger soundRequests = new AtomicInteger();
     private final Map<Outcome, Integer> outcomes = new ConcurrentHashMap<>();
     private final Queue<String> violations = new ConcurrentLinkedQueue<>();
     private final Map<String, Long> withdrawnAt = new ConcurrentHashMap<>();
 
+    /** A request as its caller sent it. */
+    private record SentRequest(int instance, long sentAt, boolean crashing, boolean stream) {}
+
     /** The result of a request from the caller's perspective. */
     enum Outcome {
         SERVED,
@@ -36,15 +48,82 @@
         violations.add(text);
     }
 
-    void recordSent(final String requestId, final long now) {
-        sentAt.put(requestId, now);
+    SoakDisturbances disturbances() {
+        return disturbances;
+    }
+
+    /** Records that an injected fault changed what a request or an instance experienced. */
+    void recordActedFault(final String name) {
+        actedFaults.merge(name, 1, Integer::sum);
+    }
+
+    /**
+     * Records that a caller sends a request.
+     *
+     * @param requestId the identifier of the request
+     * @param instance the index of the instance that receives the request
+     * @param route the route name
+     * @param promptParts the prompt parts of the request, empty if it has none
+     * @param now the present time
+     */
+    void recordSent(
+            final String requestId, final int instance, final String route, final String promptParts, final long now) {
+        sentRequests.put(
+                requestId, new SentRequest(instance, now, CrashingPart.isIn(promptParts), route.equals("stream")));
     }
 
-    void recordOutcome(final String requestId, final Outcome outcome) {
+    void recordOutcome(final String requestId, final Outcome outcome, final long now) {
         outcomes.merge(outcome, 1, Integer::sum);
         if (outcome == Outcome.REFUSED) {
             refusedRequests.add(requestId);
         }
+        final SentRequest request = sentRequests.get(requestId);
+        if (isSoundRun(requestId, request, now)) {
+            soundRequests.incrementAndGet();
+            if (outcome != Outcome.SERVED) {
+                recordViolation(requestId + " ran only at sound upstreams " + runs.get(requestId) + " and ended "
+                        + outcome + " at front-" + request.instance() + " after " + (now - request.sentAt()) + " ms");
+            }
+        }
+        if (request.stream() && !request.crashing() && isInTouch(request.instance(), request.sentAt(), now)) {
+            crashingPart.recordSoundRequest(request.sentAt(), runs.containsKey(requestId));
+        }
+    }
+
+    /** Returns whether nothing that the soak injected excuses an incomplete answer to a request that has run. */
+    private boolean isSoundRun(final String requestId, final SentRequest request, final long endedAt) {
+        return runs.containsKey(requestId)
+                && !request.crashing()
+                && endedAt - request.sentAt() < SOUND_RUN_MILLISECONDS
+                && !runsOnDeadConnections.contains(requestId)
+                && !disturbances.overlap(SoakDisturbances.instance(request.instance()), request.sentAt(), endedAt)
+                && runs.get(requestId).stream()
+                        .noneMatch(upstream -> disturbances.overlapUpstream(upstream, request.sentAt(), endedAt));
+    }
+
+    private boolean isInTouch(final int instance, final long from, final long to) {
+        final long contactSince = from - CrashingPart.CONTACT_MILLISECONDS;
+        return !disturbances.overlap(SoakDisturbances.instance(instance), contactSince, to)
+                && !disturbances.overlap(SoakDisturbances.plannedStop(instance), contactSince, to)
+                && !disturbances.overlap(SoakDisturbances.STORE, contactSince, to)
+                && !disturbances.overlap(SoakDisturbances.STORE_CONNECTIONS, contactSince, to);
+    }
+
+    /** Records that a request with the crashing part reached an upstream, also if the upstream rejects the request. */
+    void recordCrashingArrival(final String requestId, final long now) {
+        final SentRequest request = sentRequests.get(requestId);
+        if (request != null && isInTouch(request.instance(), now, now)) {
+            crashingPart.recordArrival(requestId, now);
+        }
+    }
+
+    void recordCrash(final long now) {
+        crashingPart.recordCrash(now);
+    }
+
+    /** Records that a request ran over a connection that drops bytes for good. */
+    void recordDeadConnection(final String requestId) {
+        runsOnDeadConnections.add(requestId);
     }
 
     void recordWithdrawal(final String key, final long acknowledgedAt) {
@@ -57,9 +136,12 @@
      * @param requestId the identifier of the request
      * @param route the route name, which is the first segment of the request path
      * @param reportedTeam the team in the request header that the upstream received
+     * @param upstream the index of the upstream
      */
-    void recordRun(final String requestId, final String route, final String reportedTeam) {
-        final int count = runCounts.merge(requestId, 1, Integer::sum);
+    void recordRun(final String requestId, final String route, final String reportedTeam, final int upstream) {
+        final Queue<Integer> requestRuns = runs.computeIfAbsent(requestId, unused -> new ConcurrentLinkedQueue<>());
+        requestRuns.add(upstream);
+        final int count = requestRuns.size();
         if (route.equals("once") && count > 1) {
             recordViolation(requestId + " ran " + count + " times");
         }
@@ -67,12 +149,12 @@
         if (!reportedTeam.equals(SoakClient.teamOf(key))) {
             recordViolation(requestId + " ran for team " + reportedTeam);
         }
-        final Long requestSentAt = sentAt.get(requestId);
+        final SentRequest request = sentRequests.get(requestId);
         final Long keyWithdrawnAt = withdrawnAt.get(key);
-        if (requestSentAt == null) {
+        if (request == null) {
             recordViolation(requestId + " ran although no caller sent it");
-        } else if (keyWithdrawnAt != null && requestSentAt > keyWithdrawnAt + WITHDRAWAL_MILLISECONDS) {
-            recordViolation(requestId + " ran with a key that was withdrawn " + (requestSentAt - keyWithdrawnAt)
+        } else if (keyWithdrawnAt != null && request.sentAt() > keyWithdrawnAt + WITHDRAWAL_MILLISECONDS) {
+            recordViolation(requestId + " ran with a key that was withdrawn " + (request.sentAt() - keyWithdrawnAt)
                     + " ms before it was sent");
         }
     }
@@ -83,9 +165,10 @@
 
     /** Lists all violations; requires that no request is in progress. */
     List<String> listViolations() {
+        crashingPart.listViolations(this);
         final List<String> allViolations = new ArrayList<>(violations);
         refusedRequests.stream()
-                .filter(runCounts::containsKey)
+                .filter(runs::containsKey)
                 .map(request -> request + " was refused as not run and ran")
                 .forEach(allViolations::add);
         return allViolations;
@@ -93,6 +176,6 @@
 
     @Override
     public String toString() {
-        return outcomes + " runs=" + runCounts.size();
+        return outcomes + " runs=" + runs.size() + " sound=" + soundRequests + " " + actedFaults + " " + crashingPart;
     }
 }
--- a/src/standin/java/org/lacewingstep/soak/SoakSite.java
+++ b/src/standin/java/org/lacewingstep/soak/SoakSite.java
@@ -21,7 +21,12 @@
 
 /** Runs the site of a soak: the store and the upstreams in this process, and each instance as a separate process. */
 final class SoakSite implements AutoCloseable {
+    /** The index of the first upstream that decodes; all later ones decode too. */
+    static final int FIRST_DECODE_UPSTREAM = 4;
+
     private static final int HTTP_OK = 200;
+    private static final int MAX_EXTRA_ROUTES = 400;
+    private static final int UPSTREAM_COUNT = 6;
     private static final long READY_TIMEOUT_MILLISECONDS = 60_000;
     private static final long POLL_INTERVAL_MILLISECONDS = 50;
     private static final String SETTINGS_TEMPLATE =
@@ -41,11 +46,14 @@
     private final Map<String, Long> activeSince = new ConcurrentHashMap<>();
     private final SoakLedger ledger;
     private final List<FaultProxy> proxies = new ArrayList<>();
+    private final int[] births = new int[UPSTREAM_COUNT];
+    private final String[] upstreamStates = new String[UPSTREAM_COUNT];
     private final HttpClient readinessClient = HttpClient.newHttpClient();
     private final PlatformStoreStandIn store = new PlatformStoreStandIn();
     private final FaultProxy storeProxy = new FaultProxy(store.port());
     private final List<SoakUpstream> upstreams = new CopyOnWriteArrayList<>();
 
+    private int extraRouteCount;
     private int keyCount;
     private long entrySequence;
     private long tableVersion;
@@ -58,6 +66,7 @@
         private final Path settingsFile;
 
         private Process process;
+        private volatile boolean stopRequested;
 
         Instance(final Path settingsFile, final int callerPort, final int readyPort, final int metricsPort) {
             this.settingsFile = settingsFile;
@@ -72,9 +81,14 @@
         this.ledger = ledger;
         activeSince.put("w0", SoakClock.now());
         activeSince.put("d0", SoakClock.now());
-        for (int index = 0; index < 6; index++) {
-            upstreams.add(new SoakUpstream("i-" + index, ledger));
-            proxies.add(new FaultProxy(upstreams.get(index).port()));
+        for (int index = 0; index < UPSTREAM_COUNT; index++) {
+            final int upstreamIndex = index;
+            final SoakUpstream upstream = new SoakUpstream(index, ledger);
+            final FaultProxy proxy = new FaultProxy(upstream.port());
+            upstream.setDeadConnections(proxy::isDead);
+            upstream.setOnRestart(() -> writeRestartedUpstreamEntry(upstreamIndex));
+            upstreams.add(upstream);
+            proxies.add(proxy);
             writeUpstreamEntry(index, "ready");
         }
         writeRoutingTable();
@@ -94,7 +108,10 @@
 
     @Override
     public void close() throws IOException {
-        instances.forEach(instance -> instance.process.destroyForcibly());
+        instances.forEach(instance -> {
+            instance.stopRequested = true;
+            instance.process.destroyForcibly();
+        });
         storeProxy.close();
         for (final FaultProxy proxy : proxies) {
             proxy.close();
@@ -105,8 +122,8 @@
         store.close();
     }
 
-    int callerPort(final Random random) {
-        return instances.get(random.nextInt(instances.size())).callerPort;
+    int callerPort(final int index) {
+        return instances.get(index).callerPort;
     }
 
     /** Draws one of the valid keys. */
@@ -149,9 +166,10 @@
         return upstreams.size();
     }
 
-    /** Starts the process of an instance that is not running. */
+    /** Starts the process of an instance that is not running, and records a violation if the process ends by itself. */
     void startInstance(final int index) throws IOException {
         final Instance instance = instances.get(index);
+        instance.stopRequested = false;
         instance.process = new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "--enable-native-access=ALL-UNNAMED",
@@ -170,10 +188,18 @@
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(
                         folder.resolve("front-" + index + ".log").toFile()))
                 .start();
+        instance.process.onExit().thenAccept(ended -> {
+            if (!instance.stopRequested) {
+                ledger.recordViolation("front-" + index + " ended by itself with code " + ended.exitValue());
+            }
+        });
     }
 
     /** Sends a signal to the process of an instance. */
     void signal(final int index, final String signal) throws IOException, InterruptedException {
+        if (signal.equals("KILL") || signal.equals("TERM")) {
+            instances.get(index).stopRequested = true;
+        }
         new ProcessBuilder(
                         "kill",
                         "-" + signal,
@@ -235,15 +261,49 @@
         }
     }
 
+    /** Publishes a routing table with another number of unused routes, and one without most keys of a team. */
+    synchronized void changeConfiguration(final Random random) {
+        extraRouteCount = random.nextInt(MAX_EXTRA_ROUTES);
+        writeRoutingTable();
+        addKey();
+        final String team = random.nextBoolean() ? "w" : "d";
+        final List<String> withdrawnKeys = activeSince.keySet().stream()
+                .filter(key -> key.startsWith(team) && !key.endsWith("0"))
+                .toList();
+        withdrawnKeys.forEach(activeSince::remove);
+        writeRoutingTable();
+        withdrawnKeys.forEach(key -> ledger.recordWithdrawal(key, SoakClock.now()));
+    }
+
+    /** Registers another upstream at the address of a drained one. */
+    synchronized void replaceUpstream(final int index, final String newIdentifier) {
+        store.delete("servers/" + upstreams.get(index).identifier());
+        upstreams.get(index).replaceIdentifier(newIdentifier);
+        writeUpstreamEntry(index, "ready");
+    }
+
+    private synchronized void writeRestartedUpstreamEntry(final int index) {
+        births[index] += UPSTREAM_COUNT;
+        writeUpstreamEntry(index, upstreamStates[index]);
+    }
+
     /** Writes the entry of an upstream, with the given state, into the store. */
     synchronized void writeUpstreamEntry(final int index, final String state) {
+        upstreamStates[index] = state;
         final String service = index < 2 ? "ledger" : "engines";
-        final String stage = index < 2 ? "" : index < 4 ? ",\"stage\":\"prefill\"" : ",\"stage\":\"decode\"";
+        final String stage =
+                index < 2 ? "" : index < FIRST_DECODE_UPSTREAM ? ",\"stage\":\"prefill\"" : ",\"stage\":\"decode\"";
         entrySequence++;
         store.put(
                 "servers/" + upstreams.get(index).identifier(),
                 UPSTREAM_TEMPLATE.formatted(
-                        service, proxies.get(index).port(), index % 2, state, entrySequence, index + 1, stage));
+                        service,
+                        proxies.get(index).port(),
+                        index % 2,
+                        state,
+                        entrySequence,
+                        births[index] + index + 1,
+                        stage));
     }
 
     private void writeRoutingTable() {
@@ -252,9 +312,15 @@
                 """
                 {"name":"%s","host":"127.0.0.1","pathPrefix":"/%s/","kind":"%s","timeoutMs":4000,
                 "targetLatencyMs":500,"maxAttempts":2,"resumable":%b,"gapAimMs":300,"service":"%s"}""";
+        final StringBuilder extraRoutes = new StringBuilder();
+        for (int number = 0; number < extraRouteCount; number++) {
+            extraRoutes
+                    .append(routeTemplate.formatted("extra" + number, "extra" + number, "safe", false, "ledger"))
+                    .append(',');
+        }
         store.put(
                 "op/config",
-                "{\"version\":" + tableVersion + ",\"routes\":["
+                "{\"version\":" + tableVersion + ",\"routes\":[" + extraRoutes
                         + routeTemplate.formatted("once", "once", "unsafe", false, "ledger") + ","
                         + routeTemplate.formatted("again", "again", "safe", false, "ledger") + ","
                         + routeTemplate.formatted("stream", "stream", "streaming", true, "engines")
--- a/src/standin/java/org/lacewingstep/soak/SoakUpstream.java
+++ b/src/standin/java/org/lacewingstep/soak/SoakUpstream.java
@@ -7,7 +7,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.IntPredicate;
 
 import org.lacewingstep.standin.SocketRequest;
 import org.lacewingstep.standin.SocketServer;
@@ -18,23 +21,42 @@
 
     private static final long EXECUTION_MILLISECONDS = 15;
 
+    /** Time that a crashed upstream is away. */
+    private static final long RESTART_MILLISECONDS = 2000;
+
+    private final int index;
     private final SoakLedger ledger;
+    private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
     private final SocketServer server;
 
+    private volatile boolean crashed;
+    private volatile UpstreamFault fault = new UpstreamFault.None();
     private volatile String identifier;
-    private volatile UpstreamFault fault = UpstreamFault.NONE;
+    private volatile Runnable onRestart = () -> {};
+    private volatile IntPredicate deadConnections = port -> false;
+
+    /** A connection from an instance, or from the proxy in front of the upstream. */
+    private static final class Connection {
+        private final OutputStream output;
+        private final Socket socket;
+
+        /** The identifier of the request that was rejected last on this connection, or null. */
+        private String rejectedRequest;
 
-    /** The fault that is currently injected into the upstream. */
-    enum UpstreamFault {
-        NONE,
-        REFUSES,
-        CUTS,
-        LOSES_RESPONSES,
-        NO_RESPONSE
+        Connection(final Socket socket) throws IOException {
+            this.output = socket.getOutputStream();
+            this.socket = socket;
+        }
+
+        void write(final String text) throws IOException {
+            output.write(text.getBytes(StandardCharsets.US_ASCII));
+            output.flush();
+        }
     }
 
-    SoakUpstream(final String identifier, final SoakLedger ledger) throws IOException {
-        this.identifier = identifier;
+    SoakUpstream(final int index, final SoakLedger ledger) throws IOException {
+        this.index = index;
+        this.identifier = "i-" + index;
         this.ledger = ledger;
         this.server = new SocketServer(this::serve);
     }
@@ -52,12 +74,30 @@
         return server.port();
     }
 
+    /** Injects a fault, {@link UpstreamFault.None} to remove the current one. */
     void setFault(final UpstreamFault newFault) {
+        if (!newFault.isSound()) {
+            ledger.disturbances().begin(SoakDisturbances.upstream(index), SoakClock.now());
+        }
         fault = newFault;
+        if (newFault instanceof UpstreamFault.None) {
+            ledger.disturbances().end(SoakDisturbances.upstream(index), SoakClock.now());
+        }
+    }
+
+    /** Sets the test, by the port of the peer, for connections that drop bytes for good. */
+    void setDeadConnections(final IntPredicate newDeadConnections) {
+        deadConnections = newDeadConnections;
+    }
+
+    /** Sets the action that follows a restart after a crash. */
+    void setOnRestart(final Runnable newOnRestart) {
+        onRestart = newOnRestart;
     }
 
     /** Changes the identifier, which simulates another upstream at the same address. */
     void replaceIdentifier(final String newIdentifier) {
+        ledger.disturbances().strike(SoakDisturbances.upstream(index), SoakClock.now());
         identifier = newIdentifier;
     }
 
@@ -71,91 +111,190 @@
     }
 
     private void serve(final Socket socket) throws IOException, InterruptedException {
-        final BufferedReader reader =
-                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-        Optional<SocketRequest> request = SocketRequest.read(reader);
-        while (request.isPresent() && respond(socket, request.get())) {
-            request = SocketRequest.read(reader);
+        if (crashed) {
+            reset(socket);
+            return;
+        }
+        openSockets.add(socket);
+        try {
+            final BufferedReader reader =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            final Connection connection = new Connection(socket);
+            Optional<SocketRequest> request = SocketRequest.read(reader);
+            while (request.isPresent() && respond(connection, request.get())) {
+                request = SocketRequest.read(reader);
+            }
+        } finally {
+            openSockets.remove(socket);
         }
     }
 
     /** Responds to a request and returns whether the connection stays open. */
-    private boolean respond(final Socket socket, final SocketRequest request) throws IOException, InterruptedException {
-        final OutputStream output = socket.getOutputStream();
+    private boolean respond(final Connection connection, final SocketRequest request)
+            throws IOException, InterruptedException {
+        final String requestId = request.headers().getOrDefault("request-id", "");
+        if (CrashingPart.isIn(request.headers().getOrDefault("prompt-prefix", ""))) {
+            ledger.recordCrashingArrival(requestId, SoakClock.now());
+        }
         if (!identifier.equals(request.headers().getOrDefault("expect-instance", identifier))) {
-            write(output, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
+            connection.write(
+                    "HTTP/1.1 421 Misdirected\r\n" + identifierHeader(requestId) + "Content-Length: 0\r\n\r\n");
             return true;
         }
         if (request.path().startsWith("/hold-take")) {
-            write(
-                    output,
+            connection.write(
                     jsonResponse("{\"hold\":\"" + ThreadLocalRandom.current().nextInt(1 << 30) + "\"}"));
             return true;
         }
         if (request.path().startsWith("/hold-drop")) {
-            write(output, jsonResponse("{}"));
+            connection.write(jsonResponse("{}"));
             return true;
         }
-        if (fault == UpstreamFault.REFUSES) {
-            write(output, "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        final boolean repeatsRefusal = fault instanceof UpstreamFault.RepeatsRefusal;
+        if (fault instanceof UpstreamFault.Refuses || repeatsRefusal && connection.rejectedRequest == null) {
+            connection.rejectedRequest = requestId;
+            connection.write(rejection(identifierHeader(requestId)));
             return true;
         }
         if (request.headers().containsKey("stage")) {
-            write(output, jsonResponse("{\"kvHandle\":\"h\",\"tokens\":1,\"version\":1}"));
+            pauseIf(UpstreamFault.Silent.BEFORE_HEAD);
+            connection.write(jsonResponse("{\"kvHandle\":\"h\",\"tokens\":1,\"version\":1}"));
             return true;
         }
-        return execute(socket, output, request);
+        return execute(connection, request, requestId);
     }
 
-    private boolean execute(final Socket socket, final OutputStream output, final SocketRequest request)
+    private boolean execute(final Connection connection, final SocketRequest request, final String requestId)
             throws IOException, InterruptedException {
-        final String requestId = request.headers().get("request-id");
         final String route = request.path().split("/")[1];
-        ledger.recordRun(requestId, route, request.headers().getOrDefault("tenant", ""));
+        final boolean resumed =
+                !request.headers().getOrDefault("last-event-id", "0").equals("0");
+        final UpstreamFault currentFault = fault;
+        if (currentFault instanceof UpstreamFault.BreaksStreams && resumed && requestId.hashCode() % 2 == 0) {
+            ledger.recordActedFault("resumed streams rejected");
+            connection.write(rejection(identifierHeader(requestId)));
+            return true;
+        }
+        ledger.recordRun(requestId, route, request.headers().getOrDefault("tenant", ""), index);
+        if (deadConnections.test(connection.socket.getPort())) {
+            ledger.recordDeadConnection(requestId);
+        }
         if (request.headers().containsKey("api-key")) {
             ledger.recordViolation(requestId + " exposed the key of its caller to an upstream");
         }
         Thread.sleep(EXECUTION_MILLISECONDS);
-        if (fault == UpstreamFault.NO_RESPONSE) {
-            socket.getInputStream().read();
+        if (CrashingPart.isIn(request.headers().getOrDefault("prompt-prefix", ""))) {
+            connection.write(requestId.hashCode() % 2 == 0 ? streamHead(requestId) : "");
+            crash();
             return false;
         }
-        if (fault == UpstreamFault.LOSES_RESPONSES) {
-            socket.setSoLinger(true, 0);
-            return false;
+        switch (currentFault) {
+            case UpstreamFault.NoResponse() -> {
+                connection.socket.getInputStream().read();
+                return false;
+            }
+            case UpstreamFault.LosesResponses() -> {
+                connection.socket.setSoLinger(true, 0);
+                return false;
+            }
+            case UpstreamFault.RepeatsRefusal(boolean identified) -> {
+                ledger.recordActedFault("refusals repeated, identified=" + identified);
+                connection.write(rejection(identified ? identifierHeader(connection.rejectedRequest) : ""));
+                connection.rejectedRequest = null;
+            }
+            case UpstreamFault.BreaksStreams() -> {
+                if (resumed) {
+                    ledger.recordActedFault("resumed streams failed");
+                    connection.write("HTTP/1.1 500 Internal Server Error\r\n" + identifierHeader(requestId)
+                            + "Content-Length: 13\r\n\r\nengine failed");
+                    return true;
+                }
+            }
+            case UpstreamFault.Silent(int eventsBefore, long milliseconds) -> pauseIf(UpstreamFault.Silent.BEFORE_HEAD);
+            case UpstreamFault.None(), UpstreamFault.Refuses(), UpstreamFault.Cuts() -> {}
         }
         return route.equals("stream")
-                ? sendEventStream(output, request, requestId)
-                : sendPlainResponse(output, requestId);
+                ? sendEventStream(connection, request, requestId)
+                : sendPlainResponse(connection, requestId);
+    }
+
+    /** Pauses if the current fault is a pause after this number of events. */
+    private void pauseIf(final int eventsSent) throws InterruptedException {
+        if (fault instanceof UpstreamFault.Silent(int eventsBefore, long milliseconds) && eventsBefore == eventsSent) {
+            ledger.recordActedFault(eventsSent > 0 ? "pauses in a stream" : "pauses before the first event");
+            Thread.sleep(milliseconds);
+        }
+    }
+
+    private void crash() {
+        if (crashed) {
+            return;
+        }
+        final long now = SoakClock.now();
+        ledger.disturbances().begin(SoakDisturbances.crash(index), now);
+        ledger.recordCrash(now);
+        crashed = true;
+        openSockets.forEach(SoakUpstream::reset);
+        Thread.ofVirtual().start(() -> {
+            try {
+                Thread.sleep(RESTART_MILLISECONDS);
+            } catch (final InterruptedException interruption) {
+                Thread.currentThread().interrupt();
+            }
+            crashed = false;
+            onRestart.run();
+            ledger.disturbances().end(SoakDisturbances.crash(index), SoakClock.now());
+        });
     }
 
-    private boolean sendPlainResponse(final OutputStream output, final String requestId) throws IOException {
+    private boolean sendPlainResponse(final Connection connection, final String requestId) throws IOException {
         final String body = responseBody(requestId);
-        final boolean truncated = fault == UpstreamFault.CUTS;
-        write(output, responseHead(requestId) + "Content-Length: " + body.length() + "\r\n\r\n");
-        write(output, truncated ? body.substring(0, 3) : body);
+        final boolean truncated = fault instanceof UpstreamFault.Cuts;
+        connection.write(responseHead(requestId) + "Content-Length: " + body.length() + "\r\n\r\n");
+        connection.write(truncated ? body.substring(0, 3) : body);
         return !truncated;
     }
 
-    private boolean sendEventStream(final OutputStream output, final SocketRequest request, final String requestId)
+    private boolean sendEventStream(final Connection connection, final SocketRequest request, final String requestId)
             throws IOException, InterruptedException {
-        write(
-                output,
-                responseHead(requestId) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        connection.write(streamHead(requestId));
         final int lastEventId = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
         for (int number = lastEventId + 1; number <= EVENT_COUNT; number++) {
+            pauseIf(number - 1);
             final String event = eventFrame(requestId, number);
-            if (fault == UpstreamFault.CUTS && number > 2) {
-                write(output, chunk(event.substring(0, 5)));
+            final boolean breaksOff = fault instanceof UpstreamFault.BreaksStreams;
+            if ((fault instanceof UpstreamFault.Cuts || breaksOff) && number > 2) {
+                connection.write(chunk(event.substring(0, 5)));
                 return false;
             }
-            write(output, chunk(event));
+            connection.write(chunk(event));
             Thread.sleep(EXECUTION_MILLISECONDS);
         }
-        write(output, "0\r\n\r\n");
+        connection.write("0\r\n\r\n");
         return true;
     }
 
+    private static String streamHead(final String requestId) {
+        return responseHead(requestId) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+
+    private static String rejection(final String identifierHeader) {
+        return "HTTP/1.1 503 Full\r\n" + identifierHeader + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    private static String identifierHeader(final String requestId) {
+        return requestId.isEmpty() ? "" : "Request-Id: " + requestId + "\r\n";
+    }
+
+    private static void reset(final Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (final IOException closed) {
+            // The socket is already closed.
+        }
+    }
+
     private static String responseHead(final String requestId) {
         return "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nResponse-Seal: seal-" + requestId + "\r\n";
     }
@@ -168,9 +307,4 @@
     private static String chunk(final String text) {
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
-
-    private static void write(final OutputStream output, final String text) throws IOException {
-        output.write(text.getBytes(StandardCharsets.US_ASCII));
-        output.flush();
-    }
 }
--- a/src/test/java/org/lacewingstep/soak/SoakTest.java
+++ b/src/test/java/org/lacewingstep/soak/SoakTest.java
@@ -1,5 +1,7 @@
 package org.lacewingstep.soak;
 
+import java.util.Set;
+
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -20,6 +22,6 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 103})
     void randomFaultsViolateNoGuarantee(final long seed) throws Exception {
-        assertThat(Soak.run(seed, FAULT_MILLISECONDS, INSTANCE_COUNT)).isEmpty();
+        assertThat(Soak.run(seed, FAULT_MILLISECONDS, INSTANCE_COUNT, Set.of())).isEmpty();
     }
 }
