--- a/src/standin/java/org/lacewingstep/soak/Soak.java
+++ b/src/standin/java/org/lacewingstep/soak/Soak.java
@@ -60,7 +60,7 @@
             final Set<AdditionalFault> additionalFaults)
             throws IOException, InterruptedException {
         final Path folder = Files.createTempDirectory("lacewingstep-soak-" + seed + "-");
-        final SoakLedger ledger = new SoakLedger();
+        final SoakLedger ledger = new SoakLedger(additionalFaults.contains(AdditionalFault.SILENCE));
         final List<SoakClient> clients = new ArrayList<>();
         final List<Thread> threads = new ArrayList<>();
         try (SoakSite site = new SoakSite(folder, instanceCount, ledger)) {
--- a/src/standin/java/org/lacewingstep/soak/SoakFaults.java
+++ b/src/standin/java/org/lacewingstep/soak/SoakFaults.java
@@ -114,10 +114,10 @@
                                 additionalRandom.nextInt(SoakUpstream.EVENT_COUNT + 1) - 1,
                                 MIN_SILENCE_MILLISECONDS + additionalRandom.nextInt(SILENCE_SPREAD_MILLISECONDS)),
                         additionalRandom);
-            case REPEATED_REFUSAL ->
+            case REPEATED_REFUSAL, UNIDENTIFIED_REFUSAL ->
                 injectUpstreamFault(
                         additionalRandom.nextInt(faultyUpstreams.length),
-                        new UpstreamFault.RepeatsRefusal(additionalRandom.nextBoolean()),
+                        new UpstreamFault.RepeatsRefusal(kind == AdditionalFault.REPEATED_REFUSAL),
                         additionalRandom);
             case BROKEN_STREAM -> {
                 for (int index = SoakSite.FIRST_DECODE_UPSTREAM; index < faultyUpstreams.length; index++) {
--- a/src/test/java/org/lacewingstep/soak/SoakTest.java
+++ b/src/test/java/org/lacewingstep/soak/SoakTest.java
@@ -1,7 +1,9 @@
 package org.lacewingstep.soak;
 
+import java.util.EnumSet;
 import java.util.Set;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -24,4 +26,12 @@
     void randomFaultsViolateNoGuarantee(final long seed) throws Exception {
         assertThat(Soak.run(seed, FAULT_MILLISECONDS, INSTANCE_COUNT, Set.of())).isEmpty();
     }
+
+    /** Guards against entries of other writers, broken streams and route changes that stop or confuse an instance. */
+    @Test
+    void oddEntriesBrokenStreamsAndChangedRoutesViolateNoGuarantee() throws Exception {
+        final Set<AdditionalFault> faults =
+                EnumSet.of(AdditionalFault.ODD_ENTRY, AdditionalFault.BROKEN_STREAM, AdditionalFault.CONFIGURATION);
+        assertThat(Soak.run(22, FAULT_MILLISECONDS, INSTANCE_COUNT, faults)).isEmpty();
+    }
 }
