Decode the shared parts of a prompt into the call's parameters

No behaviour depends on them yet. Prompt-Prefix lists the parts of a prompt; the last one belongs to the request or its session alone and is left out. A header that is malformed or longer than 4096 characters counts as none, and at most 16 parts are kept.

--- a/src/main/java/org/lacewingstep/blackboard/CallParameters.java
+++ b/src/main/java/org/lacewingstep/blackboard/CallParameters.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 
 import org.lacewingstep.domain.KeyDigest;
+import org.lacewingstep.domain.PromptPart;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.TokenDemand;
 import org.lacewingstep.error.Validate;
@@ -17,6 +19,7 @@
  * @param path the path of the URL without the query, not null
  * @param key the digest of the caller's API key, empty if the caller sent none
  * @param tokens prompt and permitted output in tokens, empty if the caller gave none
+ * @param promptParts the parts of the prompt that other requests may share, in order, not null
  * @param waitLimit how long the caller waits for the response, not null
  * @param receivedAt when the call was read, not null
  */
@@ -26,13 +29,15 @@
         String path,
         Optional<KeyDigest> key,
         Optional<TokenDemand> tokens,
+        List<PromptPart> promptParts,
         Duration waitLimit,
         Instant receivedAt) {
-    /** Checks that the mandatory parameters are present. */
+    /** Checks that the mandatory parameters are present and copies the list. */
     public CallParameters {
         Validate.notNull(request, "request");
         Validate.notNull(host, "host");
         Validate.notNull(path, "path");
+        promptParts = List.copyOf(promptParts);
         Validate.notNull(waitLimit, "wait limit");
         Validate.notNull(receivedAt, "arrival");
     }
--- a/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
@@ -4,10 +4,14 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -23,6 +27,7 @@
 import org.lacewingstep.blackboard.CallParameters;
 import org.lacewingstep.domain.KeyDigest;
 import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.PromptPart;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.TokenDemand;
 import org.lacewingstep.traffic.CallProtocol;
@@ -39,6 +44,7 @@
     private static final String KV_SOURCE = "Kv-Source";
     private static final String LAST_EVENT_ID = "Last-Event-Id";
     private static final String NOT_EXECUTED = "Not-Executed";
+    private static final String PROMPT_PREFIX = "Prompt-Prefix";
     private static final String REQUEST_ID = "Request-Id";
     private static final String RESPONSE_SEAL = "Response-Seal";
     private static final String STAGE = "Stage";
@@ -79,6 +85,12 @@
     private static final Duration DEFAULT_WAIT_LIMIT = Duration.ofHours(1);
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int MAX_PROMPT_PREFIX_LENGTH = 4096;
+
+    /** Most parts of one prompt that decisions consider. */
+    private static final int MAX_PROMPT_PARTS = 16;
+
+    private static final Pattern PROMPT_PREFIX_ENTRY = Pattern.compile("\\s*([0-9A-Fa-f]{1,64}):\\d{1,9}\\s*");
     private static final int HTTP_MISDIRECTED_REQUEST = 421;
     private static final double MILLISECONDS_PER_SECOND = 1000;
 
@@ -91,6 +103,7 @@
                 callerRequest.path(),
                 Optional.ofNullable(callerRequest.headers().get(API_KEY)).map(KeyDigest::of),
                 tokenDemand(callerRequest.headers().get(TOKEN_COUNT)),
+                sharedPromptParts(callerRequest.headers().get(PROMPT_PREFIX)),
                 waitLimit(callerRequest.headers().get(DEADLINE)),
                 now);
     }
@@ -267,6 +280,25 @@
         return Optional.of(new TokenDemand(Long.parseLong(parts[0].trim()), Long.parseLong(parts[1].trim())));
     }
 
+    /** Parses the parts of the prompt without the last one, which belongs to the request or its session alone. */
+    private static List<PromptPart> sharedPromptParts(final String header) {
+        if (header == null || header.length() > MAX_PROMPT_PREFIX_LENGTH) {
+            return List.of();
+        }
+        final List<PromptPart> parts = new ArrayList<>();
+        for (final String entry : header.split(",", -1)) {
+            final Matcher matcher = PROMPT_PREFIX_ENTRY.matcher(entry);
+            if (!matcher.matches()) {
+                return List.of();
+            }
+            parts.add(new PromptPart(matcher.group(1).toLowerCase(Locale.ROOT)));
+        }
+        return parts.subList(0, parts.size() - 1).stream()
+                .distinct()
+                .limit(MAX_PROMPT_PARTS)
+                .toList();
+    }
+
     private static Duration waitLimit(final String header) {
         if (header == null || !header.matches("\\d{1,9}")) {
             return DEFAULT_WAIT_LIMIT;
--- a/src/test/java/org/lacewingstep/controller/SiteFixture.java
+++ b/src/test/java/org/lacewingstep/controller/SiteFixture.java
@@ -26,6 +26,7 @@
 import org.lacewingstep.domain.KeyDigest;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.PromptPart;
 import org.lacewingstep.domain.RegionName;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
@@ -237,6 +238,10 @@
     }
 
     RequestIdentifier call(final String path, final long tokens) {
+        return call(path, tokens, List.of());
+    }
+
+    RequestIdentifier call(final String path, final long tokens, final List<PromptPart> promptParts) {
         requests++;
         final RequestIdentifier request = new RequestIdentifier("r" + requests);
         step(new Event.CallArrived(new CallParameters(
@@ -245,6 +250,7 @@
                 path,
                 Optional.of(KEY),
                 Optional.of(new TokenDemand(tokens, 0)),
+                promptParts,
                 Duration.ofSeconds(2),
                 now)));
         return request;
--- a/src/test/java/org/lacewingstep/etcd/OuterNamesTest.java
+++ b/src/test/java/org/lacewingstep/etcd/OuterNamesTest.java
@@ -54,7 +54,14 @@
             List.of(new RouteTarget(SERVICE, 1)),
             Set.of(new RegionName("region")));
     private static final CallParameters CALL_PARAMETERS = new CallParameters(
-            REQUEST, "host.example", "/", Optional.empty(), Optional.empty(), Duration.ofSeconds(1), Instant.EPOCH);
+            REQUEST,
+            "host.example",
+            "/",
+            Optional.empty(),
+            Optional.empty(),
+            List.of(),
+            Duration.ofSeconds(1),
+            Instant.EPOCH);
     private static final RequestParameters REQUEST_PARAMETERS = new RequestParameters(
             REQUEST, new ServiceSelector.ByPath("/"), Optional.empty(), Optional.empty(), 1, 1, Instant.EPOCH);
 
@@ -74,7 +81,8 @@
 
     @Test
     void callsKeepTheirNames() throws IOException {
-        assertNames(CALL_PARAMETERS, "request", "host", "path", "key", "tokens", "patience", "receivedAt");
+        assertNames(
+                CALL_PARAMETERS, "request", "host", "path", "key", "tokens", "promptParts", "patience", "receivedAt");
         assertNames(
                 new CallSection.Call(
                         CALL_PARAMETERS,
--- a/src/test/java/org/lacewingstep/platform/PlatformProtocolTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformProtocolTest.java
@@ -3,7 +3,10 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -13,12 +16,15 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingstep.blackboard.CallInstruction.Reserve;
 import org.lacewingstep.blackboard.CallInstruction.Send;
 import org.lacewingstep.blackboard.CallParameters;
 import org.lacewingstep.domain.FailureDomainName;
 import org.lacewingstep.domain.KeyDigest;
 import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.PromptPart;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.ServiceName;
@@ -54,6 +60,33 @@
         assertThat(parameters.key()).contains(KeyDigest.of("k"));
     }
 
+    @Test
+    void decodesThePartsOfThePromptWithoutTheLastOne() {
+        assertThat(promptParts("5C1e07a2:800, 91bd3f06:410,e4402b7d:250"))
+                .containsExactly(new PromptPart("5c1e07a2"), new PromptPart("91bd3f06"));
+        assertThat(promptParts("5c1e07a2:800")).isEmpty();
+        assertThat(promptParts("5c1e07a2:1,5c1e07a2:1,e4:2")).containsExactly(new PromptPart("5c1e07a2"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", ",", "5c1e07a2", "5c1e07a2:8,x", "5c1e07a2:8,:3", "a:1,b:1,", "a:-1,b:1", "g:1,b:1"})
+    void malformedPromptPrefixHasNoParts(final String header) {
+        assertThat(promptParts(header)).isEmpty();
+    }
+
+    @Test
+    void partsOfAPromptAreBounded() {
+        assertThat(promptParts(IntStream.range(0, 40).mapToObj(i -> i + ":5").collect(Collectors.joining(","))))
+                .hasSize(16);
+        assertThat(promptParts("a:1,".repeat(2000) + "b:1")).isEmpty();
+        assertThat(promptParts("a".repeat(65) + ":1,b:1")).isEmpty();
+    }
+
+    private List<PromptPart> promptParts(final String header) {
+        return protocol.decodeRequest(new RequestIdentifier("r"), callerRequest("Prompt-Prefix", header), NOW)
+                .promptParts();
+    }
+
     @Test
     void dropsTheKeyAndTheRouterHeadersThatTheCallerSent() {
         final HttpHeaders headers = protocol.upstreamHeaders(
