Quarantine parts of prompts on which upstreams crash

What callers saw: requests with one part of a prompt crashed one upstream after the other. Each crash closed the connections of all calls at that upstream, mid-stream ones too. The harmful call was then sent to a second upstream, which crashed as well, and the same part came again at other instances.

Cause: a crash was charged to the upstream alone. Nothing linked the crashes of several upstreams to what their requests had in common, so nothing stopped the requests.

Why it works: PromptController counts a crash incident for each part when an attempt breaks off before any event, other than by silence. Instances report the crashes that they know of with their ages in SiteLoad and keep the union, so lost, doubled and late reports and restarts change nothing. Three incidents without a response quarantine a part. Crashes of several upstreams at about one time are one incident, as a rack may have failed. A part that was served is sound, and a part is not blamed for crashes that a likelier part of the same prompts accounts for, so the sound parts that stand in front of a harmful one stay usable even where no sound request has been served.

Calls with a quarantined part are refused at admission, and before each send as "not run"; one that may have run fails. A response to a call in flight ends the quarantine at once, ten minutes after the crashes end it otherwise.

The field in SiteLoad is optional: earlier builds ignore it and report none.

--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -246,8 +246,7 @@
      * All data of the store that concern this process were read.
      *
      * @param content the content of the store, as changes against an empty store, not null
-     * @param revision the store's revision after which changes have to be followed; every part of the content was
-     *     read at this revision or a later one
+     * @param revision the store's revision after which changes must be followed; all content was read at it or later
      * @param requestedAt when this process sent the read, not null
      */
     record StoreRead(List<StoreChange> content, long revision, Instant requestedAt) implements Event {}
@@ -390,6 +389,9 @@
      */
     record AllowanceSpent(TeamName team, long units) implements Event {}
 
+    /** The other instances need a report of this instance soon. */
+    record LoadReportRequested() implements Event {}
+
     /** A call is being sent to an upstream for the first time. */
     record FirstSend() implements Event {}
 
--- a/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
+++ b/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
@@ -10,6 +10,7 @@
 import org.lacewingstep.domain.CellName;
 import org.lacewingstep.domain.Configuration;
 import org.lacewingstep.domain.Incarnation;
+import org.lacewingstep.domain.PromptPart;
 import org.lacewingstep.domain.Reservation;
 import org.lacewingstep.domain.Roster;
 import org.lacewingstep.domain.TeamName;
@@ -217,16 +218,21 @@
     }
 
     /**
-     * Reports the sender's use of each upstream and what teams have spent at the sender.
+     * Reports the sender's use of each upstream, what teams have spent at the sender and which parts of prompts may
+     * crash upstreams.
      *
      * @param uses the sender's running requests at each upstream, not null
      * @param spent units that each team with recent spending has spent at the sender since the sender started, not null
+     * @param prompts the evidence on parts of prompts that are suspected of crashing upstreams, not null
      */
-    record SiteLoad(Map<UpstreamName, UpstreamUse> uses, Map<TeamName, Double> spent) implements PeerMessage {
+    record SiteLoad(
+            Map<UpstreamName, UpstreamUse> uses, Map<TeamName, Double> spent, Map<PromptPart, PromptEvidence> prompts)
+            implements PeerMessage {
         /** Copies the maps. */
         public SiteLoad {
             uses = Map.copyOf(uses);
             spent = Map.copyOf(spent);
+            prompts = Map.copyOf(prompts);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/org/lacewingstep/blackboard/PromptEvidence.java
@@ -0,0 +1,31 @@
+package org.lacewingstep.blackboard;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.lacewingstep.domain.UpstreamStart;
+
+/**
+ * What an instance reports about a part of prompts that is suspected of crashing upstreams.
+ *
+ * <p>Times are ages at the time of the report, since instances have no common clock.
+ *
+ * @param position the highest position of the part in a prompt, from zero
+ * @param crashes crashes of upstreams that ran a request with the part, not null
+ * @param servedAge time since the sender last received a response to a request with the part, empty if it never has
+ */
+public record PromptEvidence(int position, List<CrashReport> crashes, Optional<Duration> servedAge) {
+    /** Copies the list. */
+    public PromptEvidence {
+        crashes = List.copyOf(crashes);
+    }
+
+    /**
+     * A crash of an upstream.
+     *
+     * @param start the start of the upstream that ended with the crash, not null
+     * @param age time since the crash, not null
+     */
+    public record CrashReport(UpstreamStart start, Duration age) {}
+}
--- a/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
@@ -17,6 +17,7 @@
  * @param calls the open calls that this instance serves, not null
  * @param roles the planned roles of engines and how full the engines are, not null
  * @param relay what this instance passes on between the store and other instances, not null
+ * @param prompts the parts of prompts that are suspected of crashing upstreams, not null
  */
 public record ServingBoard(
         SiteSection site,
@@ -26,7 +27,8 @@
         UpstreamLoadSection loads,
         CallSection calls,
         RoleSection roles,
-        RelaySection relay) {
+        RelaySection relay,
+        PromptSection prompts) {
     /** The initial sections of a process. */
     public static final ServingBoard INITIAL = new ServingBoard(
             SiteSection.INITIAL,
@@ -36,7 +38,8 @@
             UpstreamLoadSection.INITIAL,
             CallSection.INITIAL,
             RoleSection.INITIAL,
-            RelaySection.INITIAL);
+            RelaySection.INITIAL,
+            PromptSection.INITIAL);
 
     /** Checks that every section is present. */
     public ServingBoard {
@@ -48,6 +51,7 @@
         Validate.notNull(calls, "calls");
         Validate.notNull(roles, "roles");
         Validate.notNull(relay, "relay");
+        Validate.notNull(prompts, "prompts");
     }
 
     /**
@@ -58,15 +62,24 @@
      */
     public ServingBoard with(final ServingSection section) {
         return switch (section) {
-            case SiteSection next -> new ServingBoard(next, routing, registry, allowances, loads, calls, roles, relay);
-            case RoutingSection next -> new ServingBoard(site, next, registry, allowances, loads, calls, roles, relay);
-            case RegistrySection next -> new ServingBoard(site, routing, next, allowances, loads, calls, roles, relay);
-            case AllowanceSection next -> new ServingBoard(site, routing, registry, next, loads, calls, roles, relay);
+            case SiteSection next ->
+                new ServingBoard(next, routing, registry, allowances, loads, calls, roles, relay, prompts);
+            case RoutingSection next ->
+                new ServingBoard(site, next, registry, allowances, loads, calls, roles, relay, prompts);
+            case RegistrySection next ->
+                new ServingBoard(site, routing, next, allowances, loads, calls, roles, relay, prompts);
+            case AllowanceSection next ->
+                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts);
             case UpstreamLoadSection next ->
-                new ServingBoard(site, routing, registry, allowances, next, calls, roles, relay);
-            case RelaySection next -> new ServingBoard(site, routing, registry, allowances, loads, calls, roles, next);
-            case RoleSection next -> new ServingBoard(site, routing, registry, allowances, loads, calls, next, relay);
-            case CallSection next -> new ServingBoard(site, routing, registry, allowances, loads, next, roles, relay);
+                new ServingBoard(site, routing, registry, allowances, next, calls, roles, relay, prompts);
+            case RelaySection next ->
+                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, next, prompts);
+            case RoleSection next ->
+                new ServingBoard(site, routing, registry, allowances, loads, calls, next, relay, prompts);
+            case PromptSection next ->
+                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, relay, next);
+            case CallSection next ->
+                new ServingBoard(site, routing, registry, allowances, loads, next, roles, relay, prompts);
         };
     }
 
--- a/src/main/java/org/lacewingstep/blackboard/ServingSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingSection.java
@@ -4,6 +4,7 @@
 public sealed interface ServingSection extends Section
         permits AllowanceSection,
                 CallSection,
+                PromptSection,
                 RegistrySection,
                 RelaySection,
                 RoleSection,
--- a/src/main/java/org/lacewingstep/command/PlatformProcess.java
+++ b/src/main/java/org/lacewingstep/command/PlatformProcess.java
@@ -121,6 +121,9 @@
                 () -> !control.board().lifecycle().isReady(),
                 new CallMetrics(metrics));
         metrics.gauge("calls.open", () -> openCalls::size);
+        metrics.gauge(
+                "prompts.quarantined",
+                () -> () -> control.board().serving().prompts().quarantinedParts());
         dispatcher = new PlatformEffectDispatcher(
                 openCalls,
                 new PlatformStoreAdapter(client, settings.storeAddress(), clock::now, control::post, execController),
--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -32,6 +32,7 @@
             new UpstreamLoadController(),
             new AllowanceController(),
             new RoleController(),
+            new PromptController(),
             new CallController());
 
     private BlackboardStepper() {}
--- a/src/main/java/org/lacewingstep/controller/CallAdmission.java
+++ b/src/main/java/org/lacewingstep/controller/CallAdmission.java
@@ -36,6 +36,9 @@
     /** Retry delay sent by a stopping instance; the caller is expected to retry at another instance. */
     private static final Duration DRAINING_RETRY_AFTER = Duration.ofMillis(50);
 
+    /** Retry delay sent to a caller whose prompt crashes upstreams, which lasts until an upstream is repaired. */
+    private static final Duration QUARANTINE_RETRY_AFTER = Duration.ofSeconds(60);
+
     /** How long a stopping instance accepts calls: time for two failed health checks of the balancer, one a second. */
     private static final Duration DRAIN_ACCEPT_PERIOD = Duration.ofMillis(2500);
 
@@ -73,6 +76,25 @@
      * @return the decision, never null
      */
     static AdmissionDecision decide(final Blackboard board, final CallParameters parameters, final Instant now) {
+        final AdmissionDecision decision = decideAccess(board, parameters, now);
+        return decision instanceof AdmissionDecision.Admitted
+                ? PromptQuarantine.find(board, parameters, now)
+                        .map(CallAdmission::quarantined)
+                        .orElse(decision)
+                : decision;
+    }
+
+    private static AdmissionDecision quarantined(final PromptQuarantine.QuarantinedPart part) {
+        return new AdmissionDecision.Refused(
+                new Refusal(ErrorCode.PROMPT_QUARANTINED, part.reason(), QUARANTINE_RETRY_AFTER),
+                List.of(
+                        Input.of("part", part.part()),
+                        Input.of("incidents", part.incidents()),
+                        Input.of("age_ms", part.age().toMillis())));
+    }
+
+    private static AdmissionDecision decideAccess(
+            final Blackboard board, final CallParameters parameters, final Instant now) {
         if (isClosedToCalls(board, now)) {
             return refused(new Refusal(ErrorCode.INSTANCE_DRAINING, "the instance is stopping", DRAINING_RETRY_AFTER));
         }
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -75,6 +75,17 @@
         if (!CallAdmission.mayStillRun(board, call, now)) {
             return refuse(board, call, builder, ErrorCode.NOT_READY, "the key was withdrawn or cannot be proved", now);
         }
+        final Optional<PromptQuarantine.QuarantinedPart> quarantined =
+                PromptQuarantine.find(board, call.parameters(), now);
+        if (quarantined.isPresent()) {
+            return refuse(
+                    board,
+                    call,
+                    builder,
+                    ErrorCode.PROMPT_QUARANTINED,
+                    quarantined.get().reason(),
+                    now);
+        }
         if (Duration.between(now, call.deadline()).compareTo(MIN_ATTEMPT_TIME) < 0) {
             return refuse(board, call, builder, ErrorCode.NO_CAPACITY, "no upstream was free in time", now);
         }
@@ -100,8 +111,11 @@
             return builder.outcome(board.serving().calls());
         }
         final Optional<RegisteredUpstream> upstream = UpstreamChoice.findRegistered(board, name);
+        final boolean quarantined =
+                PromptQuarantine.find(board, call.parameters(), now).isPresent();
         if (result instanceof CallResult.Served
                 && upstream.isPresent()
+                && !quarantined
                 && CallAdmission.mayStillRun(board, call, now)) {
             return send(board, call, upstream.get(), builder, now);
         }
@@ -113,7 +127,8 @@
                 Input.of("upstream", name),
                 Input.of("result", result),
                 Input.of("running", board.serving().use(name, now)))));
-        return queue(board, call.withPhase(new CallPhase.Queued(until)), builder, now);
+        final Call queued = call.withPhase(new CallPhase.Queued(until));
+        return quarantined ? place(board, queued, builder, now) : queue(board, queued, builder, now);
     }
 
     /** Adds the call to the load reported to all instances, then reserves memory at the upstream or sends the call. */
--- a/src/main/java/org/lacewingstep/controller/Controller.java
+++ b/src/main/java/org/lacewingstep/controller/Controller.java
@@ -19,6 +19,7 @@
                 ConfigurationController,
                 LifecycleController,
                 MembershipController,
+                PromptController,
                 RegistryController,
                 RequestController,
                 RelayController,
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -64,6 +64,7 @@
                 scheduleBroadcast(board, withRequestEnded(section, name, tokens, result, now), now);
             case Event.UpstreamStalled(UpstreamName name) ->
                 Outcome.of(with(section, name, section.of(name).withBackOff(now.plus(STALL_BACKOFF))));
+            case Event.LoadReportRequested() -> scheduleBroadcast(board, section, now);
             case Event.TimerFired(TimerKey.LoadBroadcast()) -> broadcast(board, now);
             case Event.PeerLoadReported(Incarnation sender, PeerMessage.SiteLoad load) ->
                 Outcome.of(new UpstreamLoadSection(
@@ -118,7 +119,10 @@
                 uses.put(name, new UpstreamUse(running.requests(), running.tokens(), arrivals));
             }
         });
-        final PeerMessage message = new PeerMessage.SiteLoad(uses, AllowanceShare.recentSpending(board, now));
+        final PeerMessage message = new PeerMessage.SiteLoad(
+                uses,
+                AllowanceShare.recentSpending(board, now),
+                PromptReports.create(board.serving().prompts(), now));
         reportReceivers(board, now).forEach(member -> builder.add(new Effect.SendToPeer(member, message)));
         final Instant due = now.plus(SiteSection.BROADCAST_INTERVAL);
         builder.add(new Effect.StartTimer(new TimerKey.LoadBroadcast(), due));
--- a/src/main/java/org/lacewingstep/etcd/DocumentCodec.java
+++ b/src/main/java/org/lacewingstep/etcd/DocumentCodec.java
@@ -29,6 +29,7 @@
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.KeyDigest;
 import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.PromptPart;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Roster;
 import org.lacewingstep.domain.ServiceKind;
@@ -112,6 +113,7 @@
         registerAsText(module, InstanceName.class, InstanceName::value, InstanceName::new);
         registerAsText(module, KeyDigest.class, KeyDigest::value, KeyDigest::new);
         registerAsText(module, PeerAddress.class, PeerAddress::toString, PeerAddress::parse);
+        registerAsText(module, PromptPart.class, PromptPart::identifier, PromptPart::new);
         registerAsText(module, RequestIdentifier.class, RequestIdentifier::value, RequestIdentifier::new);
         registerAsText(module, ServiceName.class, ServiceName::value, ServiceName::new);
         registerAsText(module, TeamName.class, TeamName::value, TeamName::new);
--- a/src/main/java/org/lacewingstep/peer/RecordCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RecordCodec.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.peer;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -7,6 +8,7 @@
 import java.util.Optional;
 
 import org.lacewingstep.blackboard.PeerMessage;
+import org.lacewingstep.blackboard.PromptEvidence;
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.CellName;
 import org.lacewingstep.domain.FailureDomainName;
@@ -14,16 +16,20 @@
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.PromptPart;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Reservation;
 import org.lacewingstep.domain.Roster;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
+import org.lacewingstep.domain.UpstreamStart;
 import org.lacewingstep.domain.UpstreamUse;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
 import org.lacewingstep.peer.wire.WireAttempt;
 import org.lacewingstep.peer.wire.WireMember;
+import org.lacewingstep.peer.wire.WirePromptCrash;
+import org.lacewingstep.peer.wire.WirePromptEvidence;
 import org.lacewingstep.peer.wire.WireReservation;
 import org.lacewingstep.peer.wire.WireRosterCopy;
 import org.lacewingstep.peer.wire.WireSiteLoad;
@@ -125,7 +131,13 @@
                         uses.add(new WireUpstreamUse(upstream.value(), use.requests(), use.tokens(), use.arrivals())));
         final Map<String, Double> spent = new HashMap<>();
         load.spent().forEach((team, units) -> spent.put(team.value(), units));
-        return new WireSiteLoad(uses, spent);
+        final WireSiteLoad wire = new WireSiteLoad(uses, spent);
+        if (!load.prompts().isEmpty()) {
+            wire.setPrompts(load.prompts().entrySet().stream()
+                    .map(entry -> encodeEvidence(entry.getKey(), entry.getValue()))
+                    .toList());
+        }
+        return wire;
     }
 
     static PeerMessage.SiteLoad decodeSiteLoad(final WireSiteLoad wire) {
@@ -136,6 +148,38 @@
                         new UpstreamUse(use.getRequests(), use.getTokens(), use.getArrivals())));
         final Map<TeamName, Double> spent = new HashMap<>();
         wire.getSpent().forEach((team, units) -> spent.put(new TeamName(team), units));
-        return new PeerMessage.SiteLoad(uses, spent);
+        final Map<PromptPart, PromptEvidence> prompts = new HashMap<>();
+        if (wire.isSetPrompts()) {
+            wire.getPrompts().forEach(part -> prompts.put(new PromptPart(part.getPart()), decodeEvidence(part)));
+        }
+        return new PeerMessage.SiteLoad(uses, spent, prompts);
+    }
+
+    private static WirePromptEvidence encodeEvidence(final PromptPart part, final PromptEvidence evidence) {
+        final WirePromptEvidence wire = new WirePromptEvidence(
+                part.identifier(),
+                evidence.position(),
+                evidence.crashes().stream()
+                        .map(crash -> new WirePromptCrash(
+                                crash.start().upstream().value(),
+                                crash.start().startedAtMillis(),
+                                crash.age().toMillis()))
+                        .toList());
+        evidence.servedAge().ifPresent(age -> wire.setServedAgeMilliseconds(age.toMillis()));
+        return wire;
+    }
+
+    private static PromptEvidence decodeEvidence(final WirePromptEvidence wire) {
+        return new PromptEvidence(
+                wire.getPosition(),
+                wire.getCrashes().stream()
+                        .map(crash -> new PromptEvidence.CrashReport(
+                                new UpstreamStart(
+                                        new UpstreamName(crash.getUpstream()), crash.getStartedAtMilliseconds()),
+                                Duration.ofMillis(crash.getAgeMilliseconds())))
+                        .toList(),
+                wire.isSetServedAgeMilliseconds()
+                        ? Optional.of(Duration.ofMillis(wire.getServedAgeMilliseconds()))
+                        : Optional.empty());
     }
 }
--- a/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
@@ -12,17 +12,20 @@
 
   private static final org.apache.thrift.protocol.TField USES_FIELD_DESC = new org.apache.thrift.protocol.TField("uses", org.apache.thrift.protocol.TType.LIST, (short)1);
   private static final org.apache.thrift.protocol.TField SPENT_FIELD_DESC = new org.apache.thrift.protocol.TField("spent", org.apache.thrift.protocol.TType.MAP, (short)2);
+  private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireSiteLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireSiteLoadTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.util.List<WireUpstreamUse> uses; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Double> spent; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<WirePromptEvidence> prompts; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     USES((short)1, "uses"),
-    SPENT((short)2, "spent");
+    SPENT((short)2, "spent"),
+    PROMPTS((short)3, "prompts");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +45,8 @@
           return USES;
         case 2: // SPENT
           return SPENT;
+        case 3: // PROMPTS
+          return PROMPTS;
         default:
           return null;
       }
@@ -85,6 +90,7 @@
   }
 
   // isset id assignments
+  private static final _Fields optionals[] = {_Fields.PROMPTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -95,6 +101,9 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE))));
+    tmpMap.put(_Fields.PROMPTS, new org.apache.thrift.meta_data.FieldMetaData("prompts", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WirePromptEvidence.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireSiteLoad.class, metaDataMap);
   }
@@ -126,6 +135,13 @@
       java.util.Map<java.lang.String,java.lang.Double> __this__spent = new java.util.HashMap<java.lang.String,java.lang.Double>(other.spent);
       this.spent = __this__spent;
     }
+    if (other.isSetPrompts()) {
+      java.util.List<WirePromptEvidence> __this__prompts = new java.util.ArrayList<WirePromptEvidence>(other.prompts.size());
+      for (WirePromptEvidence other_element : other.prompts) {
+        __this__prompts.add(new WirePromptEvidence(other_element));
+      }
+      this.prompts = __this__prompts;
+    }
   }
 
   @Override
@@ -137,6 +153,7 @@
   public void clear() {
     this.uses = null;
     this.spent = null;
+    this.prompts = null;
   }
 
   public int getUsesSize() {
@@ -216,6 +233,47 @@
     }
   }
 
+  public int getPromptsSize() {
+    return (this.prompts == null) ? 0 : this.prompts.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WirePromptEvidence> getPromptsIterator() {
+    return (this.prompts == null) ? null : this.prompts.iterator();
+  }
+
+  public void addToPrompts(WirePromptEvidence elem) {
+    if (this.prompts == null) {
+      this.prompts = new java.util.ArrayList<WirePromptEvidence>();
+    }
+    this.prompts.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WirePromptEvidence> getPrompts() {
+    return this.prompts;
+  }
+
+  public WireSiteLoad setPrompts(@org.apache.thrift.annotation.Nullable java.util.List<WirePromptEvidence> prompts) {
+    this.prompts = prompts;
+    return this;
+  }
+
+  public void unsetPrompts() {
+    this.prompts = null;
+  }
+
+  /** Returns true if field prompts is set (has been assigned a value) and false otherwise */
+  public boolean isSetPrompts() {
+    return this.prompts != null;
+  }
+
+  public void setPromptsIsSet(boolean value) {
+    if (!value) {
+      this.prompts = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -235,6 +293,14 @@
       }
       break;
 
+    case PROMPTS:
+      if (value == null) {
+        unsetPrompts();
+      } else {
+        setPrompts((java.util.List<WirePromptEvidence>)value);
+      }
+      break;
+
     }
   }
 
@@ -248,6 +314,9 @@
     case SPENT:
       return getSpent();
 
+    case PROMPTS:
+      return getPrompts();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -264,6 +333,8 @@
       return isSetUses();
     case SPENT:
       return isSetSpent();
+    case PROMPTS:
+      return isSetPrompts();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -299,6 +370,15 @@
         return false;
     }
 
+    boolean this_present_prompts = true && this.isSetPrompts();
+    boolean that_present_prompts = true && that.isSetPrompts();
+    if (this_present_prompts || that_present_prompts) {
+      if (!(this_present_prompts && that_present_prompts))
+        return false;
+      if (!this.prompts.equals(that.prompts))
+        return false;
+    }
+
     return true;
   }
 
@@ -314,6 +394,10 @@
     if (isSetSpent())
       hashCode = hashCode * 8191 + spent.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetPrompts()) ? 131071 : 524287);
+    if (isSetPrompts())
+      hashCode = hashCode * 8191 + prompts.hashCode();
+
     return hashCode;
   }
 
@@ -345,6 +429,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPrompts(), other.isSetPrompts());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPrompts()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.prompts, other.prompts);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -384,6 +478,16 @@
       sb.append(this.spent);
     }
     first = false;
+    if (isSetPrompts()) {
+      if (!first) sb.append(", ");
+      sb.append("prompts:");
+      if (this.prompts == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.prompts);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -432,14 +536,14 @@
           case 1: // USES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
-                struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list56.size);
-                @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem57;
-                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
+                struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list64.size);
+                @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem65;
+                for (int _i66 = 0; _i66 < _list64.size; ++_i66)
                 {
-                  _elem57 = new WireUpstreamUse();
-                  _elem57.read(iprot);
-                  struct.uses.add(_elem57);
+                  _elem65 = new WireUpstreamUse();
+                  _elem65.read(iprot);
+                  struct.uses.add(_elem65);
                 }
                 iprot.readListEnd();
               }
@@ -451,15 +555,15 @@
           case 2: // SPENT
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map59 = iprot.readMapBegin();
-                struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map59.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key60;
-                double _val61;
-                for (int _i62 = 0; _i62 < _map59.size; ++_i62)
+                org.apache.thrift.protocol.TMap _map67 = iprot.readMapBegin();
+                struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map67.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key68;
+                double _val69;
+                for (int _i70 = 0; _i70 < _map67.size; ++_i70)
                 {
-                  _key60 = iprot.readString();
-                  _val61 = iprot.readDouble();
-                  struct.spent.put(_key60, _val61);
+                  _key68 = iprot.readString();
+                  _val69 = iprot.readDouble();
+                  struct.spent.put(_key68, _val69);
                 }
                 iprot.readMapEnd();
               }
@@ -468,6 +572,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // PROMPTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list71 = iprot.readListBegin();
+                struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list71.size);
+                @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem72;
+                for (int _i73 = 0; _i73 < _list71.size; ++_i73)
+                {
+                  _elem72 = new WirePromptEvidence();
+                  _elem72.read(iprot);
+                  struct.prompts.add(_elem72);
+                }
+                iprot.readListEnd();
+              }
+              struct.setPromptsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -488,9 +611,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (WireUpstreamUse _iter63 : struct.uses)
+          for (WireUpstreamUse _iter74 : struct.uses)
           {
-            _iter63.write(oprot);
+            _iter74.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -500,15 +623,29 @@
         oprot.writeFieldBegin(SPENT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE, struct.spent.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter64 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter75 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter64.getKey());
-            oprot.writeDouble(_iter64.getValue());
+            oprot.writeString(_iter75.getKey());
+            oprot.writeDouble(_iter75.getValue());
           }
           oprot.writeMapEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.prompts != null) {
+        if (struct.isSetPrompts()) {
+          oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
+            for (WirePromptEvidence _iter76 : struct.prompts)
+            {
+              _iter76.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -534,23 +671,35 @@
       if (struct.isSetSpent()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetPrompts()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetUses()) {
         {
           oprot.writeI32(struct.uses.size());
-          for (WireUpstreamUse _iter65 : struct.uses)
+          for (WireUpstreamUse _iter77 : struct.uses)
           {
-            _iter65.write(oprot);
+            _iter77.write(oprot);
           }
         }
       }
       if (struct.isSetSpent()) {
         {
           oprot.writeI32(struct.spent.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter66 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter78 : struct.spent.entrySet())
+          {
+            oprot.writeString(_iter78.getKey());
+            oprot.writeDouble(_iter78.getValue());
+          }
+        }
+      }
+      if (struct.isSetPrompts()) {
+        {
+          oprot.writeI32(struct.prompts.size());
+          for (WirePromptEvidence _iter79 : struct.prompts)
           {
-            oprot.writeString(_iter66.getKey());
-            oprot.writeDouble(_iter66.getValue());
+            _iter79.write(oprot);
           }
         }
       }
@@ -559,36 +708,50 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireSiteLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list67 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list67.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem68;
-          for (int _i69 = 0; _i69 < _list67.size; ++_i69)
+          org.apache.thrift.protocol.TList _list80 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list80.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem81;
+          for (int _i82 = 0; _i82 < _list80.size; ++_i82)
           {
-            _elem68 = new WireUpstreamUse();
-            _elem68.read(iprot);
-            struct.uses.add(_elem68);
+            _elem81 = new WireUpstreamUse();
+            _elem81.read(iprot);
+            struct.uses.add(_elem81);
           }
         }
         struct.setUsesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map70 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
-          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map70.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key71;
-          double _val72;
-          for (int _i73 = 0; _i73 < _map70.size; ++_i73)
+          org.apache.thrift.protocol.TMap _map83 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
+          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map83.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key84;
+          double _val85;
+          for (int _i86 = 0; _i86 < _map83.size; ++_i86)
           {
-            _key71 = iprot.readString();
-            _val72 = iprot.readDouble();
-            struct.spent.put(_key71, _val72);
+            _key84 = iprot.readString();
+            _val85 = iprot.readDouble();
+            struct.spent.put(_key84, _val85);
           }
         }
         struct.setSpentIsSet(true);
       }
+      if (incoming.get(2)) {
+        {
+          org.apache.thrift.protocol.TList _list87 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list87.size);
+          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem88;
+          for (int _i89 = 0; _i89 < _list87.size; ++_i89)
+          {
+            _elem88 = new WirePromptEvidence();
+            _elem88.read(iprot);
+            struct.prompts.add(_elem88);
+          }
+        }
+        struct.setPromptsIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/lacewingstep/traffic/ErrorResponse.java
+++ b/src/main/java/org/lacewingstep/traffic/ErrorResponse.java
@@ -90,7 +90,8 @@
             case BODY_TOO_LARGE -> 413;
             case RATE_EXCEEDED -> 429;
             case UPSTREAM_FAILED -> 502;
-            case NO_CAPACITY, HOME_UNREACHABLE, INSTANCE_DRAINING, NOT_READY, STORE_UNREACHABLE -> 503;
+            case NO_CAPACITY, HOME_UNREACHABLE, INSTANCE_DRAINING, NOT_READY, PROMPT_QUARANTINED, STORE_UNREACHABLE ->
+                503;
             case DEADLINE_EXCEEDED -> 504;
             default -> 500;
         };
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -134,9 +134,23 @@
   4: i32 arrivals
 }
 
+struct WirePromptCrash {
+  1: string upstream
+  2: i64 startedAtMilliseconds
+  3: i64 ageMilliseconds
+}
+
+struct WirePromptEvidence {
+  1: string part
+  2: i32 position
+  3: list<WirePromptCrash> crashes
+  4: optional i64 servedAgeMilliseconds
+}
+
 struct WireSiteLoad {
   1: list<WireUpstreamUse> uses
   2: map<string, double> spent
+  3: optional list<WirePromptEvidence> prompts
 }
 
 struct WireStoreQuery {
--- a/src/test/java/org/lacewingstep/controller/RelayControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/RelayControllerTest.java
@@ -126,8 +126,9 @@
         receive(
                 FOLLOWER,
                 new PeerMessage.LoadDigest(Map.of(
-                        site.board().identity().incarnation(), new PeerMessage.SiteLoad(Map.of(), Map.of()),
-                        SiteFixture.member("i9").incarnation(), new PeerMessage.SiteLoad(Map.of(), Map.of()))));
+                        site.board().identity().incarnation(), new PeerMessage.SiteLoad(Map.of(), Map.of(), Map.of()),
+                        SiteFixture.member("i9").incarnation(),
+                                new PeerMessage.SiteLoad(Map.of(), Map.of(), Map.of()))));
 
         assertThat(site.board().serving().loads().peers())
                 .containsOnlyKeys(SiteFixture.member("i9").name());
--- a/src/test/java/org/lacewingstep/controller/RelayFleet.java
+++ b/src/test/java/org/lacewingstep/controller/RelayFleet.java
@@ -20,11 +20,13 @@
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RoutingTable;
 
 /** Runs the real controllers of many instances against a simulated store and network in virtual time. */
 final class RelayFleet {
     private static final Duration TICK = Duration.ofMillis(10);
+    private static final int MAX_REPETITION_DELAY = 3000;
 
     private final List<Delivery> deliveries = new ArrayList<>();
     private final List<SiteFixture> sites = new ArrayList<>();
@@ -35,11 +37,14 @@
     private final Map<Integer, Instant> suspendedUntil = new HashMap<>();
     private final Map<Integer, Instant> suspendedSince = new HashMap<>();
     private final Random random;
+    private final List<RegisteredUpstream> upstreams;
 
     private Set<Integer> callers = new HashSet<>();
     private int calls;
     private Instant now;
     private Instant peersCutUntil = Instant.EPOCH;
+    private double lostShare;
+    private double repeatedShare;
     private long revision = 100;
     private RoutingTable table = SiteFixture.table(1, 1_000_000);
     private long tableRevision = 1;
@@ -51,7 +56,12 @@
     private record WrittenChange(long revision, StoreChange change) {}
 
     RelayFleet(final int instances, final int domains, final Random random) {
+        this(instances, domains, random, SiteFixture.upstreams());
+    }
+
+    RelayFleet(final int instances, final int domains, final Random random, final List<RegisteredUpstream> upstreams) {
         this.random = random;
+        this.upstreams = upstreams;
         for (int i = 0; i < instances; i++) {
             members.add(new Member(
                     new Incarnation(new InstanceName("i" + i), 1),
@@ -62,7 +72,7 @@
                 members.stream().map(StoreChange.InstanceRegistered::new).toArray(StoreChange[]::new);
         for (final Member member : members) {
             final SiteFixture site = new SiteFixture(member, true, 1000);
-            site.readStore(table, SiteFixture.upstreams());
+            site.readStore(table, upstreams);
             site.changeStore(present);
             sites.add(site);
             timers.add(new HashMap<>());
@@ -131,9 +141,15 @@
     }
 
     private void deliver(final int sender, final int receiver, final Event event) {
-        if (!isActive(cutUntil, sender) && !isActive(cutUntil, receiver) && !peersCutUntil.isAfter(now)) {
+        if (isActive(cutUntil, sender) || isActive(cutUntil, receiver) || peersCutUntil.isAfter(now)) {
+            return;
+        }
+        if (lostShare == 0 || random.nextDouble() >= lostShare) {
             deliveries.add(new Delivery(now.plusMillis(1 + random.nextInt(4)), receiver, event));
         }
+        if (repeatedShare > 0 && random.nextDouble() < repeatedShare) {
+            deliveries.add(new Delivery(now.plusMillis(random.nextInt(MAX_REPETITION_DELAY)), receiver, event));
+        }
     }
 
     private void confirm(final int index, final long known) {
@@ -196,6 +212,30 @@
         peersCutUntil = now.plus(time);
     }
 
+    /** Loses a share of the messages between instances, and delivers a share of them twice, up to 3 s late. */
+    void loseAndRepeatMessages(final double lost, final double repeated) {
+        lostShare = lost;
+        repeatedShare = repeated;
+    }
+
+    /** Replaces an instance with a new process that knows nothing but the content of the store. */
+    void restart(final int index) {
+        final Member old = members.get(index);
+        final Member member = new Member(
+                new Incarnation(old.name(), old.incarnation().number() + 1), old.address(), old.failureDomain());
+        final SiteFixture site = new SiteFixture(member, false, 1000);
+        site.advanceClock(Duration.between(site.now(), now));
+        members.set(index, member);
+        timers.get(index).clear();
+        deliveries.removeIf(delivery -> delivery.receiver() == index);
+        site.readStore(table, upstreams);
+        write(new StoreChange.InstanceRegistered(member));
+        site.changeStore(
+                members.stream().map(StoreChange.InstanceRegistered::new).toArray(StoreChange[]::new));
+        sites.set(index, site);
+        drainEffects(index);
+    }
+
     /** Cuts off or suspends a random instance for some seconds. */
     void injectFault(final Random faults) {
         final int index = faults.nextInt(sites.size());
--- a/src/test/java/org/lacewingstep/controller/RoleControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/RoleControllerTest.java
@@ -168,7 +168,8 @@
         for (int i = 1; i <= 5; i++) {
             uses.put(new UpstreamName("decode-" + i), new UpstreamUse(tokens > 0 ? 3 : 0, tokens));
         }
-        site.step(new Event.PeerMessageReceived(reporter.incarnation(), new PeerMessage.SiteLoad(uses, Map.of())));
+        site.step(new Event.PeerMessageReceived(
+                reporter.incarnation(), new PeerMessage.SiteLoad(uses, Map.of(), Map.of())));
     }
 
     private List<Effect.WriteRolePlan> plans() {
--- a/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
+++ b/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
@@ -13,6 +13,7 @@
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.junit.jupiter.api.Test;
 import org.lacewingstep.blackboard.PeerMessage;
+import org.lacewingstep.blackboard.PromptEvidence;
 import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.domain.Access;
 import org.lacewingstep.domain.AttemptIdentifier;
@@ -23,6 +24,7 @@
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.PromptPart;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Reservation;
@@ -34,9 +36,11 @@
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
+import org.lacewingstep.domain.UpstreamStart;
 import org.lacewingstep.domain.UpstreamUse;
 import org.lacewingstep.peer.wire.WireHello;
 import org.lacewingstep.peer.wire.WireMessage;
+import org.lacewingstep.peer.wire.WireSiteLoad;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -67,6 +71,14 @@
                         .count());
     }
 
+    @Test
+    void loadOfAnInstanceThatReportsNoPromptsIsDecoded() {
+        final WireMessage load = WireMessage.siteLoad(new WireSiteLoad(List.of(), Map.of("t", 2.0)));
+
+        assertThat(PeerCodec.decode(load))
+                .isEqualTo(new PeerMessage.SiteLoad(Map.of(), Map.of(new TeamName("t"), 2.0), Map.of()));
+    }
+
     @Test
     void rejectsGreetingOnEstablishedConnection() {
         final WireMessage hello = WireMessage.hello(new WireHello("a", 1));
@@ -95,6 +107,16 @@
                         new RolePlan(member.name(), Map.of(name, new RolePlan.Change(UpstreamRole.PREFILL, 17))), 12));
     }
 
+    private static Map<PromptPart, PromptEvidence> samplePrompts() {
+        final PromptEvidence.CrashReport crash =
+                new PromptEvidence.CrashReport(new UpstreamStart(new UpstreamName("p"), 17), Duration.ofMillis(350));
+        return Map.of(
+                new PromptPart("5c1e07a2"),
+                new PromptEvidence(1, List.of(crash), Optional.empty()),
+                new PromptPart("91bd3f06"),
+                new PromptEvidence(0, List.of(), Optional.of(Duration.ofMillis(20))));
+    }
+
     private static List<PeerMessage> sampleMessages() {
         final Member member = new Member(OWNER, new PeerAddress("10.0.0.1", 7000), new FailureDomainName("Rundu"));
         final Service service =
@@ -102,12 +124,14 @@
         final Configuration configuration =
                 new Configuration(3, Map.of(), Map.of(service.name(), service), Map.of(), Map.of(), Map.of());
         return List.of(
-                new PeerMessage.SiteLoad(Map.of(new UpstreamName("p"), new UpstreamUse(2, 300, 4)), Map.of(TEAM, 1.5)),
+                new PeerMessage.SiteLoad(
+                        Map.of(new UpstreamName("p"), new UpstreamUse(2, 300, 4)), Map.of(TEAM, 1.5), samplePrompts()),
                 new PeerMessage.Heartbeat(1, 2, 3, 4, 5, Optional.of(Duration.ofMillis(6))),
                 new PeerMessage.Heartbeat(1, 2, 3, 4, 5, Optional.empty()),
                 new PeerMessage.StoreQuery(8, 900),
                 new PeerMessage.StoreUpdate(8, 17, 910, true, sampleChanges(member)),
-                new PeerMessage.LoadDigest(Map.of(OWNER, new PeerMessage.SiteLoad(Map.of(), Map.of(TEAM, 2.5)))),
+                new PeerMessage.LoadDigest(
+                        Map.of(OWNER, new PeerMessage.SiteLoad(Map.of(), Map.of(TEAM, 2.5), samplePrompts()))),
                 new PeerMessage.EpochAcknowledged(4, List.of(RESERVATION)),
                 new PeerMessage.TokenRequest(1, TEAM, 1, 500, true, Duration.ofMillis(20)),
                 new PeerMessage.TokenResponse(1, PeerMessage.TokenVerdict.REFUSED, 0, 0, Duration.ofMillis(9)),
