--- a/src/test/java/org/lacewingstep/controller/PromptControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/PromptControllerTest.java
@@ -150,6 +150,30 @@
         assertThat(site.board().serving().prompts().suspicions()).doesNotContainKey(HARMFUL);
     }
 
+    @Test
+    void suspicionOfAPartThatWasServedHereIsAnsweredSoon() {
+        site.changeStore(new StoreChange.InstanceRegistered(SiteFixture.member("b")));
+        site.endAttempt(site.call("/read/x", 1, List.of(HARMFUL)), new CallResult.Served());
+        broadcast();
+        site.advanceClock(Duration.ofMillis(500));
+        site.effects().clear();
+
+        receive(evidence(crash("p", Duration.ofMillis(10))));
+
+        assertThat(site.effects())
+                .contains(new Effect.StartTimer(
+                        new TimerKey.LoadBroadcast(), site.now().plusMillis(50)));
+        site.advanceClock(Duration.ofMillis(50));
+        broadcast();
+        assertThat(site.effects())
+                .filteredOn(Effect.SendToPeer.class::isInstance)
+                .extracting(effect -> ((PeerMessage.SiteLoad) ((Effect.SendToPeer) effect).message())
+                        .prompts()
+                        .get(HARMFUL)
+                        .servedAge())
+                .containsExactly(Optional.of(Duration.ofMillis(550)));
+    }
+
     @Test
     void quarantineLapsesSoThatARepairedUpstreamIsFoundAgain() {
         quarantine();
