--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -246,8 +246,7 @@
      * All data of the store that concern this process were read.
      *
      * @param content the content of the store, as changes against an empty store, not null
-     * @param revision the store's revision after which changes have to be followed; every part of the content was
-     *     read at this revision or a later one
+     * @param revision the store's revision after which changes must be followed; all content was read at it or later
      * @param requestedAt when this process sent the read, not null
      */
     record StoreRead(List<StoreChange> content, long revision, Instant requestedAt) implements Event {}
@@ -353,8 +352,7 @@
      *
      * @param request the identifier of the call, not null
      * @param upstream the upstream, not null
-     * @param result {@code Served} if the memory is reserved, {@code NotRun} if the upstream has no capacity or was not
-     *     reached, {@code Broken} on any other failure; not null
+     * @param result {@code Served} if the memory is reserved, else why it is not; not null
      */
     record ReservationCompleted(RequestIdentifier request, UpstreamName upstream, CallResult result) implements Event {}
 
@@ -362,10 +360,9 @@
      * An upstream has sent nothing for longer than usual; the attempt continues.
      *
      * @param upstream the upstream, not null
-     * @param attempt the attempt, not null
-     * @param replaceable whether the call may be sent elsewhere by now
+     * @param replaceable the attempt, empty if it is too early to send the call elsewhere
      */
-    record UpstreamStalled(UpstreamName upstream, AttemptIdentifier attempt, boolean replaceable) implements Event {}
+    record UpstreamStalled(UpstreamName upstream, Optional<AttemptIdentifier> replaceable) implements Event {}
 
     /**
      * A call is being sent to an upstream and occupies memory there.
@@ -392,6 +389,9 @@
      */
     record AllowanceSpent(TeamName team, long units) implements Event {}
 
+    /** The other instances need a report of this instance soon. */
+    record LoadReportRequested() implements Event {}
+
     /** A call is being sent to an upstream for the first time. */
     record FirstSend() implements Event {}
 
--- a/src/main/java/org/lacewingstep/controller/CallCompletion.java
+++ b/src/main/java/org/lacewingstep/controller/CallCompletion.java
@@ -208,6 +208,9 @@
         if (call.attempts() >= call.route().attemptLimit()) {
             return Optional.of("attempt limit");
         }
+        if (hasRun && PromptQuarantine.find(board, call.parameters(), now).isPresent()) {
+            return Optional.of("prompt quarantined");
+        }
         if (call.attempts() > 0 && !AllowanceShare.retryBudget(board, now).permitsRetry()) {
             return Optional.of("retry budget spent");
         }
--- a/src/main/java/org/lacewingstep/controller/CallController.java
+++ b/src/main/java/org/lacewingstep/controller/CallController.java
@@ -40,10 +40,11 @@
                 find(board, request)
                         .map(call -> endAttempt(board, call, attempt, result, now))
                         .orElseGet(() -> unchanged(board));
-            case Event.UpstreamStalled(var upstream, AttemptIdentifier attempt, boolean replaceable) ->
-                find(board, attempt.request())
-                        .filter(call -> replaceable && isCurrentAttempt(call, attempt.number()))
-                        .map(call -> CallPlacement.replaceStalledAttempt(board, call, now))
+            case Event.UpstreamStalled(var upstream, Optional<AttemptIdentifier> replaceable) ->
+                replaceable
+                        .flatMap(attempt ->
+                                find(board, attempt.request()).filter(call -> isCurrentAttempt(call, attempt.number())))
+                        .map(call -> AttemptReplacement.start(board, call, now))
                         .orElseGet(() -> unchanged(board));
             case Event.PrefillEnded(RequestIdentifier request, int attempt, CallResult result) ->
                 find(board, request)
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -19,6 +19,7 @@
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.Refusal;
 import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.controller.PromptQuarantine.QuarantinedPart;
 import org.lacewingstep.domain.FailureDomainName;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RouteKind;
@@ -53,7 +54,8 @@
     /** Least time before the deadline at which an attempt is still started. */
     private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(30);
 
-    private static final Set<UpstreamRole> RESPONDING_ROLES = Set.of(UpstreamRole.DECODE, UpstreamRole.PLAIN);
+    /** Roles of the upstreams that generate responses. */
+    static final Set<UpstreamRole> RESPONDING_ROLES = Set.of(UpstreamRole.DECODE, UpstreamRole.PLAIN);
 
     private CallPlacement() {}
 
@@ -71,6 +73,16 @@
         if (!CallAdmission.mayStillRun(board, call, now)) {
             return refuse(board, call, builder, ErrorCode.NOT_READY, "the key was withdrawn or cannot be proved", now);
         }
+        final Optional<QuarantinedPart> part = PromptQuarantine.find(board, call.parameters(), now);
+        if (part.isPresent()) {
+            return refuse(
+                    board,
+                    call,
+                    builder,
+                    ErrorCode.PROMPT_QUARANTINED,
+                    part.get().reason(),
+                    now);
+        }
         if (isTooLateToSend(call, now)) {
             return refuse(board, call, builder, ErrorCode.NO_CAPACITY, "no upstream was free in time", now);
         }
@@ -95,20 +107,24 @@
         return switch (call.phase()) {
             case CallPhase.Reserving(UpstreamName name, Instant until) -> {
                 final Optional<RegisteredUpstream> upstream = UpstreamChoice.findRegistered(board, name);
+                final boolean quarantined =
+                        PromptQuarantine.find(board, call.parameters(), now).isPresent();
                 if (result instanceof CallResult.Served
                         && upstream.isPresent()
+                        && !quarantined
                         && CallAdmission.mayStillRun(board, call, now)) {
                     yield send(board, call, upstream.get(), builder, now);
                 }
                 rejectReservation(board, call, name, result, builder, now);
-                yield queue(board, call.withPhase(new CallPhase.Queued(until)), builder, now);
+                final Call queued = call.withPhase(new CallPhase.Queued(until));
+                yield quarantined ? place(board, queued, builder, now) : queue(board, queued, builder, now);
             }
             case CallPhase.Replacing(CallPhase.Sent stalled, UpstreamName name) -> {
                 final Optional<RegisteredUpstream> upstream = UpstreamChoice.findRegistered(board, name);
                 if (result instanceof CallResult.Served
                         && upstream.isPresent()
                         && CallCompletion.retryObstacle(board, call, true, now).isEmpty()) {
-                    yield sendReplacement(board, call, stalled, upstream.get(), builder, now);
+                    yield AttemptReplacement.send(board, call, stalled, upstream.get(), builder, now);
                 }
                 rejectReservation(board, call, name, result, builder, now);
                 yield builder.outcome(CallController.with(board.serving().calls(), call.withPhase(stalled)));
@@ -119,56 +135,16 @@
     }
 
     /**
-     * Starts to replace an attempt whose response makes no progress. The attempt continues until the call can be sent
-     * elsewhere, since the silent upstream may be sound.
+     * Returns whether too little time remains before the deadline for another attempt.
      *
-     * @param board the blackboard, not null
-     * @param call the call, in phase {@code Sent} or {@code Replacing}, not null
+     * @param call the call, not null
      * @param now the present time, not null
-     * @return the updated section with the resulting effects and events, never null
+     * @return true if no attempt should be started
      */
-    static Outcome<CallSection> replaceStalledAttempt(final Blackboard board, final Call call, final Instant now) {
-        final OutcomeBuilder builder = new OutcomeBuilder();
-        if (!(call.phase() instanceof CallPhase.Sent stalled)
-                || isTooLateToSend(call, now)
-                || CallCompletion.retryObstacle(board, call, true, now).isPresent()) {
-            return builder.outcome(board.serving().calls());
-        }
-        final FailureDomainName ownDomain = board.serving().site().bounds().failureDomain();
-        final Optional<RegisteredUpstream> chosen =
-                UpstreamChoice.choose(board, call, RESPONDING_ROLES, ownDomain, now);
-        if (chosen.isEmpty()) {
-            return builder.outcome(board.serving().calls());
-        }
-        final RegisteredUpstream replacement = chosen.get();
-        builder.add(new Event.UpstreamOccupied(replacement, call.tokens()));
-        if (!ReservationRequest.isNeeded(board, call, replacement)) {
-            return sendReplacement(board, call, stalled, replacement, builder, now);
-        }
-        builder.add(ReservationRequest.create(board, call, replacement));
-        return builder.outcome(CallController.with(
-                board.serving().calls(), call.withPhase(new CallPhase.Replacing(stalled, replacement.name()))));
-    }
-
-    private static boolean isTooLateToSend(final Call call, final Instant now) {
+    static boolean isTooLateToSend(final Call call, final Instant now) {
         return Duration.between(now, call.deadline()).compareTo(MIN_ATTEMPT_TIME) < 0;
     }
 
-    /** Ends a stalled attempt and sends the call to another upstream; a stream continues there. */
-    private static Outcome<CallSection> sendReplacement(
-            final Blackboard board,
-            final Call call,
-            final CallPhase.Sent stalled,
-            final RegisteredUpstream replacement,
-            final OutcomeBuilder builder,
-            final Instant now) {
-        final CallResult result = new CallResult.Broken(true, false);
-        CallCompletion.releaseAttempt(call, stalled, Optional.of(result), builder);
-        CallCompletion.logRetry(call, result, builder);
-        final Call replaced = call.with(call.attempts(), call.tried(), Optional.empty(), true, stalled);
-        return send(board, replaced, replacement, builder, now);
-    }
-
     private static void rejectReservation(
             final Blackboard board,
             final Call call,
@@ -275,7 +251,17 @@
         return builder.outcome(CallController.without(board.serving().calls(), call));
     }
 
-    private static Outcome<CallSection> send(
+    /**
+     * Sends a call to an upstream.
+     *
+     * @param board the blackboard, not null
+     * @param call the call, not null
+     * @param upstream the upstream that generates the response, not null
+     * @param builder collects the effects and events, not null
+     * @param now the present time, not null
+     * @return the updated section with the resulting effects and events, never null
+     */
+    static Outcome<CallSection> send(
             final Blackboard board,
             final Call call,
             final RegisteredUpstream upstream,
--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -228,8 +228,9 @@
     }
 
     private void postStall(final RegisteredUpstream upstream, final boolean replaceable) {
-        openCalls.post(new Event.UpstreamStalled(
-                upstream.name(), new AttemptIdentifier(request, currentAttempt.attempt()), replaceable));
+        final Optional<AttemptIdentifier> attempt =
+                replaceable ? Optional.of(new AttemptIdentifier(request, currentAttempt.attempt())) : Optional.empty();
+        openCalls.post(new Event.UpstreamStalled(upstream.name(), attempt));
     }
 
     private void handleHead(final Send instruction, final HttpResponse response) {
--- a/src/test/java/org/lacewingstep/controller/ReplacedAttemptTest.java
+++ b/src/test/java/org/lacewingstep/controller/ReplacedAttemptTest.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.controller;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 import org.lacewingstep.blackboard.CallInstruction.Send;
@@ -44,6 +45,6 @@
     private static void stall(final SiteFixture site, final RequestIdentifier request) {
         final Send send = site.lastSend(request);
         site.step(new Event.UpstreamStalled(
-                send.upstream().name(), new AttemptIdentifier(request, send.attempt()), true));
+                send.upstream().name(), Optional.of(new AttemptIdentifier(request, send.attempt()))));
     }
 }
--- a/src/test/java/org/lacewingstep/controller/StalledAttemptTest.java
+++ b/src/test/java/org/lacewingstep/controller/StalledAttemptTest.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.controller;
 
 import java.time.Duration;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 import org.lacewingstep.blackboard.CallInstruction.Fail;
@@ -113,7 +114,7 @@
     private void stall(final RequestIdentifier request) {
         final Send send = site.lastSend(request);
         site.step(new Event.UpstreamStalled(
-                send.upstream().name(), new AttemptIdentifier(request, send.attempt()), true));
+                send.upstream().name(), Optional.of(new AttemptIdentifier(request, send.attempt()))));
     }
 
     private void endReservation(final RequestIdentifier request, final Reserve reserve, final CallResult result) {
