Keep a process that receives SIGHUP while it starts

A process that got SIGHUP before it watched its settings ended with code 129, with the calls of its callers' new connections. The handler is now installed first of all, and a signal that came before the watch reloads the settings when it starts.

--- a/src/main/java/org/lacewingstep/command/JoinCommand.java
+++ b/src/main/java/org/lacewingstep/command/JoinCommand.java
@@ -8,7 +8,7 @@
 
 /** Runs an instance on a platform until it is shut down. */
 @Command(
-        name = "join",
+        name = Main.JOIN_COMMAND,
         mixinStandardHelpOptions = true,
         description = "Runs an instance on a platform that keeps routes and upstreams in its store.")
 final class JoinCommand implements Callable<Integer> {
--- a/src/main/java/org/lacewingstep/command/Main.java
+++ b/src/main/java/org/lacewingstep/command/Main.java
@@ -33,6 +33,9 @@
             "  lacewingstep state --instance 10.0.0.2:8081"
         })
 public final class Main {
+    /** The command whose process reloads its settings. */
+    static final String JOIN_COMMAND = "join";
+
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_INVALID = 2;
 
@@ -44,6 +47,9 @@
      * @param arguments the command line arguments, not null
      */
     public static void main(final String... arguments) {
+        if (arguments.length > 0 && JOIN_COMMAND.equals(arguments[0])) {
+            ReloadSignal.install();
+        }
         final int code = run(arguments);
         if (code != 0) {
             System.exit(code);
--- a/src/main/java/org/lacewingstep/command/SettingsWatch.java
+++ b/src/main/java/org/lacewingstep/command/SettingsWatch.java
@@ -13,7 +13,6 @@
 import org.lacewingstep.platform.PlatformSettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sun.misc.Signal;
 
 /** Reloads the settings file of the platform on SIGHUP and when its modification time changes. */
 final class SettingsWatch implements AutoCloseable {
@@ -48,10 +47,11 @@
         scheduler.shutdownNow();
     }
 
-    /** Installs the SIGHUP handler and starts to poll the file. */
+    /** Starts to receive SIGHUP and to poll the file. */
     void start() {
         lastModified = readModificationTime();
-        Signal.handle(new Signal("HUP"), signal -> scheduler.execute(this::reload));
+        ReloadSignal.install();
+        ReloadSignal.deliverTo(() -> scheduler.execute(this::reload));
         scheduler.scheduleWithFixedDelay(
                 this::poll, POLL_INTERVAL_MILLISECONDS, POLL_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
