--- a/src/test/java/org/lacewingstep/soak/SoakTest.java
+++ b/src/test/java/org/lacewingstep/soak/SoakTest.java
@@ -27,6 +27,21 @@
         assertThat(Soak.run(seed, FAULT_MILLISECONDS, INSTANCE_COUNT, Set.of())).isEmpty();
     }
 
+    /** Guards against sound streams that are cut while their upstream pauses and their key is withdrawn. */
+    @Test
+    void pausingUpstreamsAndWithdrawnKeysViolateNoGuarantee() throws Exception {
+        final Set<AdditionalFault> faults = EnumSet.of(AdditionalFault.SILENCE, AdditionalFault.CONFIGURATION);
+        assertThat(Soak.run(12, FAULT_MILLISECONDS, INSTANCE_COUNT, faults)).isEmpty();
+    }
+
+    /** Guards against refusals of other requests that are believed, and against prompts that crash every upstream. */
+    @Test
+    void refusalsWithoutIdentifierAndCrashingPromptsViolateNoGuarantee() throws Exception {
+        final Set<AdditionalFault> faults =
+                EnumSet.of(AdditionalFault.UNIDENTIFIED_REFUSAL, AdditionalFault.CRASHING_PART);
+        assertThat(Soak.run(31, FAULT_MILLISECONDS, INSTANCE_COUNT, faults)).isEmpty();
+    }
+
     /** Guards against entries of other writers, broken streams and route changes that stop or confuse an instance. */
     @Test
     void oddEntriesBrokenStreamsAndChangedRoutesViolateNoGuarantee() throws Exception {
