--- a/src/test/java/org/lacewingstep/command/ReloadSignalTest.java
+++ b/src/test/java/org/lacewingstep/command/ReloadSignalTest.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.Timeout.ThreadMode;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -12,8 +14,12 @@
     private static final int START_SECONDS = 60;
 
     @Test
+    @Timeout(value = START_SECONDS, threadMode = ThreadMode.SEPARATE_THREAD)
     void signalBeforeTheSettingsAreWatchedReloadsThemLater() throws Exception {
+        // The signal may be ignored where the tests run, and a process inherits that.
         final Process process = new ProcessBuilder(
+                        "env",
+                        "--default-signal=HUP",
                         System.getProperty("java.home") + "/bin/java",
                         "-cp",
                         System.getProperty("java.class.path"),
