--- a/review/src/review/CrashingPart.java
+++ b/review/src/review/CrashingPart.java
@@ -20,6 +20,16 @@
     /** Returns the prompt of a request; the last part is its own. */
     abstract String prompt(String own, boolean harmful, String harmfulPart);
 
+    /** Returns how many requests with the harmful part come at a time; six seconds pass between them if it is over one. */
+    int clump() {
+        return 1;
+    }
+
+    /** Returns the most runners that one request may be sent to. */
+    int attempts() {
+        return 2;
+    }
+
     /** Writes what a runner has written of its answer when it crashes. */
     void writeBeforeCrash(final Runner runner, final Http.Message request, final OutputStream output)
             throws IOException, InterruptedException {}
@@ -61,8 +71,9 @@
         site.writeTable(
                 """
                 {"name":"r-nr26tta","host":"ficu95.example","pathPrefix":"/lohu930/","kind":"streaming",
-                "timeoutMs":14000,"targetLatencyMs":900,"priority":1,"service":"huvo11a","maxAttempts":2,
-                "anonymous":false,"stickySessions":true,"resumable":true,"gapAimMs":300}""",
+                "timeoutMs":14000,"targetLatencyMs":900,"priority":1,"service":"huvo11a","maxAttempts":%d,
+                "anonymous":false,"stickySessions":true,"resumable":%b,"gapAimMs":300}"""
+                        .formatted(attempts(), attempts() > 1),
                 """
                 {"name":"huvo11a","healthPath":"/health","maxConnections":630,"protocol":"h1","tls":false,
                 "coldStartS":3.0,"coldPerS":0.0,"engine":{"slots":128,"kvTokens":37608,"kvBytes":18432,
@@ -79,8 +90,11 @@
             for (; sent < elapsed * 10; sent++) {
                 Thread.ofVirtual().start(() -> send(site, false));
             }
-            for (; trouble && harmful < elapsed - 3; harmful++) {
-                Thread.ofVirtual().start(() -> send(site, true));
+            final double period = clump() > 1 ? 6 : 1;
+            for (; trouble && harmful < (elapsed - 3) / period; harmful++) {
+                for (int i = 0; i < clump(); i++) {
+                    Thread.ofVirtual().start(() -> send(site, true));
+                }
             }
             Thread.sleep(5);
         }
