Quarantine prompt parts that crash upstreams after their first event

Cause: a broken attempt counted as a response to its prompt as soon as the caller had an event, also one of an earlier attempt, so each crash deleted the crashes before. A crash while a replacement was being prepared was not counted.

Why it works: an attempt whose events came for less than 250 ms is a crash. As sound streams break like this too, such crashes lead to a trial in place of a quarantine: the instances take turns to send one request with the part, a response ends the trial, two more crashes quarantine the part.

PromptControllerTest asked that any begun response shows a sound part, which is the fault; it asks it now of a response that has come for the limit, and the opposite of a shorter one.

--- a/src/main/java/org/lacewingstep/blackboard/PromptEvidence.java
+++ b/src/main/java/org/lacewingstep/blackboard/PromptEvidence.java
@@ -26,6 +26,7 @@
      *
      * @param start the start of the upstream that ended with the crash, not null
      * @param age time since the crash, not null
+     * @param begun whether the upstream had sent events of a response to a request with the part
      */
-    public record CrashReport(UpstreamStart start, Duration age) {}
+    public record CrashReport(UpstreamStart start, Duration age, boolean begun) {}
 }
--- a/src/main/java/org/lacewingstep/blackboard/PromptSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/PromptSection.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import org.lacewingstep.domain.PromptPart;
+import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.UpstreamStart;
 import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
@@ -96,21 +97,62 @@
      * @param position the highest position of the part in a prompt, from zero
      * @param crashes the crashes since the part was last served, oldest first, not null
      * @param quarantinedAt since when requests with the part are refused, empty if they are not
+     * @param trial the limit of requests with the part to one at a time, empty if they are not limited
      */
-    public record Suspicion(int position, List<Crash> crashes, Optional<Instant> quarantinedAt) {
+    public record Suspicion(int position, List<Crash> crashes, Optional<Instant> quarantinedAt, Optional<Trial> trial) {
         /** Copies the list. */
         public Suspicion {
             crashes = List.copyOf(crashes);
         }
+
+        /**
+         * Creates the suspicion of a part whose requests are neither refused nor limited.
+         *
+         * @param position the highest position of the part in a prompt, from zero
+         * @param crashes the crashes since the part was last served, oldest first, not null
+         */
+        public Suspicion(final int position, final List<Crash> crashes) {
+            this(position, crashes, Optional.empty(), Optional.empty());
+        }
+
+        /**
+         * Copies this suspicion with other crashes.
+         *
+         * @param nextPosition the highest position of the part in a prompt, from zero
+         * @param next the crashes since the part was last served, oldest first, not null
+         * @return the copy, never null
+         */
+        public Suspicion withCrashes(final int nextPosition, final List<Crash> next) {
+            return new Suspicion(nextPosition, next, quarantinedAt, trial);
+        }
     }
 
+    /**
+     * A limit of the requests with a part to one at a time, which shows whether the part is harmful.
+     *
+     * @param since when the limit began, not null
+     * @param request the last request that this instance has let pass, empty if none
+     */
+    public record Trial(Instant since, Optional<RequestIdentifier> request) {}
+
     /**
      * A crash of an upstream.
      *
      * @param start the start of the upstream that ended with the crash, not null
      * @param at when the crash was seen, not null
+     * @param begun whether the upstream had sent events of a response to a request with the part
      */
-    public record Crash(UpstreamStart start, Instant at) {}
+    public record Crash(UpstreamStart start, Instant at, boolean begun) {
+        /**
+         * Merges two reports of one crash; the earlier time is kept.
+         *
+         * @param other the other report of the crash, not null
+         * @return the merged report, never null
+         */
+        public Crash merge(final Crash other) {
+            return new Crash(start, at.isBefore(other.at) ? at : other.at, begun || other.begun);
+        }
+    }
 
     /**
      * When requests with a part last received a response.
--- a/src/main/java/org/lacewingstep/controller/CallAdmission.java
+++ b/src/main/java/org/lacewingstep/controller/CallAdmission.java
@@ -40,6 +40,9 @@
     /** Retry delay sent to a caller whose prompt crashes upstreams, which lasts until an upstream is repaired. */
     private static final Duration QUARANTINE_RETRY_AFTER = Duration.ofSeconds(60);
 
+    /** Retry delay sent to a caller whose prompt has a part on trial, about the duration of a trial request. */
+    private static final Duration TRIAL_RETRY_AFTER = Duration.ofSeconds(2);
+
     /** How long a stopping instance accepts calls: time for two failed health checks of the balancer, one a second. */
     private static final Duration DRAIN_ACCEPT_PERIOD = Duration.ofMillis(2500);
 
@@ -87,7 +90,10 @@
 
     private static AdmissionDecision quarantined(final PromptQuarantine.QuarantinedPart part) {
         return new AdmissionDecision.Refused(
-                new Refusal(ErrorCode.PROMPT_QUARANTINED, part.reason(), QUARANTINE_RETRY_AFTER),
+                new Refusal(
+                        ErrorCode.PROMPT_QUARANTINED,
+                        part.reason(),
+                        part.onTrial() ? TRIAL_RETRY_AFTER : QUARANTINE_RETRY_AFTER),
                 List.of(
                         Input.of("part", part.part()),
                         Input.of("incidents", part.incidents()),
--- a/src/main/java/org/lacewingstep/controller/CallCompletion.java
+++ b/src/main/java/org/lacewingstep/controller/CallCompletion.java
@@ -208,7 +208,8 @@
         if (call.attempts() >= call.route().attemptLimit()) {
             return Optional.of("attempt limit");
         }
-        if (hasRun && PromptQuarantine.find(board, call.parameters(), now).isPresent()) {
+        if (hasRun
+                && PromptQuarantine.findForRetry(board, call.parameters(), now).isPresent()) {
             return Optional.of("prompt quarantined");
         }
         if (call.attempts() > 0 && !AllowanceShare.retryBudget(board, now).permitsRetry()) {
--- a/src/main/java/org/lacewingstep/controller/PromptController.java
+++ b/src/main/java/org/lacewingstep/controller/PromptController.java
@@ -38,6 +38,9 @@
     /** Time for which a crash is kept after it no longer counts, so that a late report does not renew it. */
     private static final Duration CRASH_RETENTION = Duration.ofMinutes(2);
 
+    /** Time over which a response must have sent events to show that the upstream did not crash as it began it. */
+    static final Duration SOUND_PROGRESS = Duration.ofMillis(250);
+
     /** Most suspected parts; those with the fewest crashes are dropped. */
     private static final int MAX_SUSPICIONS = 512;
 
@@ -63,39 +66,67 @@
         return switch (event) {
             case Event.CallAttemptEnded(RequestIdentifier request, int attempt, CallResult result) ->
                 Optional.ofNullable(board.serving().calls().calls().get(request))
-                        .filter(call -> call.phase() instanceof CallPhase.Sent sent && sent.attempt() == attempt)
-                        .map(call -> handleAttemptEnd(board, call, result, now))
+                        .flatMap(call -> findAttempt(call, attempt)
+                                .map(sent -> handleAttemptEnd(board, call, sent.upstream(), result, now)))
                         .orElseGet(() -> Outcome.of(section));
             case Event.PeerLoadReported(Incarnation sender, PeerMessage.SiteLoad load) ->
                 load.prompts().isEmpty() ? Outcome.of(section) : handleReport(board, load.prompts(), now);
             case Event.CallArrived(CallParameters parameters) ->
                 parameters.promptParts().stream().anyMatch(section.suspicions()::containsKey)
-                        ? decide(board, section, new OutcomeBuilder(), now)
+                        ? handleArrival(board, parameters, now)
                         : Outcome.of(section);
             case Event.TimerFired(TimerKey.LoadBroadcast()) -> handleBroadcast(board, now);
             default -> Outcome.of(section);
         };
     }
 
+    private static Outcome<PromptSection> handleArrival(
+            final Blackboard board, final CallParameters parameters, final Instant now) {
+        final Outcome<PromptSection> decided = decide(board, board.serving().prompts(), new OutcomeBuilder(), now);
+        return new Outcome<>(
+                PromptTrials.assign(board, decided.section(), parameters, now), decided.effects(), decided.events());
+    }
+
+    /** Finds the attempt with a number if the call is waiting for its end. */
+    private static Optional<CallPhase.Sent> findAttempt(final Call call, final int attempt) {
+        final Optional<CallPhase.Sent> current =
+                switch (call.phase()) {
+                    case CallPhase.Sent sent -> Optional.of(sent);
+                    case CallPhase.Replacing(CallPhase.Sent stalled, var replacement) -> Optional.of(stalled);
+                    case CallPhase.Queued queued -> Optional.empty();
+                    case CallPhase.Reserving reserving -> Optional.empty();
+                };
+        return current.filter(sent -> sent.attempt() == attempt);
+    }
+
     private static Outcome<PromptSection> handleAttemptEnd(
-            final Blackboard board, final Call call, final CallResult result, final Instant now) {
+            final Blackboard board,
+            final Call call,
+            final UpstreamName upstream,
+            final CallResult result,
+            final Instant now) {
         final PromptSection section = board.serving().prompts();
         final List<PromptPart> parts = call.parameters().promptParts();
-        if (parts.isEmpty() || !(call.phase() instanceof CallPhase.Sent(int attempt, var upstream, var prefill))) {
+        if (parts.isEmpty()) {
             return Outcome.of(section);
         }
         return switch (result) {
             case CallResult.Served() -> handleResponse(board, parts, now);
-            // The upstream crashes when it begins a response, so a begun one shows that the prompt is sound.
-            case CallResult.Broken(boolean silent, boolean begun) when begun -> handleResponse(board, parts, now);
-            case CallResult.Broken(boolean silent, boolean begun)
-            when !silent -> handleCrash(board, parts, upstream, now);
+            // A harmful prompt crashes the upstream as it begins its response, at times after the first events.
+            case CallResult.Broken broken when isSound(broken) -> handleResponse(board, parts, now);
+            case CallResult.Broken broken
+            when !broken.silent() ->
+                handleCrash(board, parts, upstream, broken.progress().isPresent(), now);
             case CallResult.Broken broken -> Outcome.of(section);
             case CallResult.FailedByUpstream failed -> Outcome.of(section);
             case CallResult.NotRun notRun -> Outcome.of(section);
         };
     }
 
+    private static boolean isSound(final CallResult.Broken broken) {
+        return broken.progress().orElse(Duration.ZERO).compareTo(SOUND_PROGRESS) >= 0;
+    }
+
     private static Outcome<PromptSection> handleResponse(
             final Blackboard board, final List<PromptPart> parts, final Instant now) {
         final PromptSection section = board.serving().prompts();
@@ -111,9 +142,13 @@
     }
 
     private static Outcome<PromptSection> handleCrash(
-            final Blackboard board, final List<PromptPart> parts, final UpstreamName upstream, final Instant now) {
+            final Blackboard board,
+            final List<PromptPart> parts,
+            final UpstreamName upstream,
+            final boolean begun,
+            final Instant now) {
         final long startedAtMillis = board.serving().loads().of(upstream).startedAtMillis();
-        final Crash crash = new Crash(new UpstreamStart(upstream, startedAtMillis), now);
+        final Crash crash = new Crash(new UpstreamStart(upstream, startedAtMillis), now, begun);
         final OutcomeBuilder builder = new OutcomeBuilder();
         PromptSection next = board.serving().prompts();
         for (int i = 0; i < parts.size(); i++) {
@@ -159,7 +194,7 @@
         }
         boolean news = false;
         for (final PromptEvidence.CrashReport report : evidence.crashes()) {
-            final Crash crash = new Crash(report.start(), timeOf(report.age(), now));
+            final Crash crash = new Crash(report.start(), timeOf(report.age(), now), report.begun());
             if (crash.at().isAfter(now.minus(PromptQuarantine.CRASH_LIFETIME))) {
                 news |= !isKnown(next, part, crash.start());
                 next = addCrash(next, part, evidence.position(), crash);
@@ -185,19 +220,17 @@
         if (!crash.at().isAfter(section.lastResponse(part).anywhere())) {
             return section;
         }
-        final Suspicion known =
-                section.suspicions().getOrDefault(part, new Suspicion(position, List.of(), Optional.empty()));
-        final Map<UpstreamStart, Instant> times = new HashMap<>();
-        known.crashes().forEach(each -> times.put(each.start(), each.at()));
-        times.merge(crash.start(), crash.at(), (left, right) -> left.isBefore(right) ? left : right);
-        final List<Crash> crashes = new ArrayList<>();
-        times.forEach((start, at) -> crashes.add(new Crash(start, at)));
+        final Suspicion known = section.suspicions().getOrDefault(part, new Suspicion(position, List.of()));
+        final Map<UpstreamStart, Crash> byStart = new HashMap<>();
+        known.crashes().forEach(each -> byStart.put(each.start(), each));
+        byStart.merge(crash.start(), crash, Crash::merge);
+        final List<Crash> crashes = new ArrayList<>(byStart.values());
         crashes.sort(Comparator.comparing(Crash::at));
         if (crashes.size() > MAX_CRASHES) {
             crashes.remove(findClosestToPrevious(crashes));
         }
-        final PMap<PromptPart, Suspicion> next = section.suspicions()
-                .plus(part, new Suspicion(Math.max(known.position(), position), crashes, known.quarantinedAt()));
+        final PMap<PromptPart, Suspicion> next =
+                section.suspicions().plus(part, known.withCrashes(Math.max(known.position(), position), crashes));
         return section.withSuspicions(next.size() > MAX_SUSPICIONS ? withoutWeakest(next) : next);
     }
 
@@ -254,7 +287,7 @@
                 .toList();
         return kept.isEmpty()
                 ? suspicions.minus(part)
-                : suspicions.plus(part, new Suspicion(known.position(), kept, known.quarantinedAt()));
+                : suspicions.plus(part, known.withCrashes(known.position(), kept));
     }
 
     private static Outcome<PromptSection> handleBroadcast(final Blackboard board, final Instant now) {
@@ -279,16 +312,26 @@
         after.forEach((part, suspicion) -> {
             if (suspicion.quarantinedAt().isPresent() && !isQuarantined(before, part)) {
                 log(board, part, suspicion, "quarantined", builder, now);
+            } else if (suspicion.trial().isPresent() && !isOnTrial(before, part)) {
+                log(board, part, suspicion, "on trial", builder, now);
             }
         });
         before.forEach((part, suspicion) -> {
-            if (suspicion.quarantinedAt().isPresent() && !isQuarantined(after, part)) {
+            if (isLimited(before, part) && !isLimited(after, part)) {
                 log(board, part, suspicion, "released", builder, now);
             }
         });
         return builder.outcome(decided);
     }
 
+    private static boolean isLimited(final PMap<PromptPart, Suspicion> suspicions, final PromptPart part) {
+        return isQuarantined(suspicions, part) || isOnTrial(suspicions, part);
+    }
+
+    private static boolean isOnTrial(final PMap<PromptPart, Suspicion> suspicions, final PromptPart part) {
+        return suspicions.containsKey(part) && suspicions.get(part).trial().isPresent();
+    }
+
     private static boolean isQuarantined(final PMap<PromptPart, Suspicion> suspicions, final PromptPart part) {
         return suspicions.containsKey(part)
                 && suspicions.get(part).quarantinedAt().isPresent();
--- a/src/main/java/org/lacewingstep/controller/PromptReports.java
+++ b/src/main/java/org/lacewingstep/controller/PromptReports.java
@@ -73,8 +73,7 @@
 
     private static PromptEvidence describe(final PromptSection section, final PromptPart part, final Instant now) {
         final Instant oldest = now.minus(PromptQuarantine.CRASH_LIFETIME);
-        final Suspicion suspicion =
-                section.suspicions().getOrDefault(part, new Suspicion(0, List.of(), Optional.empty()));
+        final Suspicion suspicion = section.suspicions().getOrDefault(part, new Suspicion(0, List.of()));
         final Instant served = section.lastResponse(part).here();
         return new PromptEvidence(
                 suspicion.position(),
@@ -86,6 +85,6 @@
     }
 
     private static PromptEvidence.CrashReport describe(final Crash crash, final Instant now) {
-        return new PromptEvidence.CrashReport(crash.start(), Duration.between(crash.at(), now));
+        return new PromptEvidence.CrashReport(crash.start(), Duration.between(crash.at(), now), crash.begun());
     }
 }
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -178,7 +178,7 @@
             case CallResult.FailedByUpstream(int status) ->
                 status < SERVER_ERROR ? withSuccess(load) : withServerError(load);
             case CallResult.NotRun(boolean reached) -> reached ? withRefusal(load, now) : withFailure(load, true, now);
-            case CallResult.Broken(boolean timedOut, boolean begun) -> withFailure(load, timedOut, now);
+            case CallResult.Broken broken -> withFailure(load, broken.silent(), now);
         };
     }
 
--- a/src/main/java/org/lacewingstep/peer/RecordCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RecordCodec.java
@@ -161,9 +161,10 @@
                 evidence.position(),
                 evidence.crashes().stream()
                         .map(crash -> new WirePromptCrash(
-                                crash.start().upstream().value(),
-                                crash.start().startedAtMillis(),
-                                crash.age().toMillis()))
+                                        crash.start().upstream().value(),
+                                        crash.start().startedAtMillis(),
+                                        crash.age().toMillis())
+                                .setBegun(crash.begun()))
                         .toList());
         evidence.servedAge().ifPresent(age -> wire.setServedAgeMilliseconds(age.toMillis()));
         return wire;
@@ -176,7 +177,8 @@
                         .map(crash -> new PromptEvidence.CrashReport(
                                 new UpstreamStart(
                                         new UpstreamName(crash.getUpstream()), crash.getStartedAtMilliseconds()),
-                                Duration.ofMillis(crash.getAgeMilliseconds())))
+                                Duration.ofMillis(crash.getAgeMilliseconds()),
+                                crash.isBegun()))
                         .toList(),
                 wire.isSetServedAgeMilliseconds()
                         ? Optional.of(Duration.ofMillis(wire.getServedAgeMilliseconds()))
--- a/src/main/java/org/lacewingstep/peer/wire/WirePromptCrash.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WirePromptCrash.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField UPSTREAM_FIELD_DESC = new org.apache.thrift.protocol.TField("upstream", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField STARTED_AT_MILLISECONDS_FIELD_DESC = new org.apache.thrift.protocol.TField("startedAtMilliseconds", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField AGE_MILLISECONDS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageMilliseconds", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField BEGUN_FIELD_DESC = new org.apache.thrift.protocol.TField("begun", org.apache.thrift.protocol.TType.BOOL, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WirePromptCrashStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WirePromptCrashTupleSchemeFactory();
@@ -20,12 +21,14 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String upstream; // required
   private long startedAtMilliseconds; // required
   private long ageMilliseconds; // required
+  private boolean begun; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     UPSTREAM((short)1, "upstream"),
     STARTED_AT_MILLISECONDS((short)2, "startedAtMilliseconds"),
-    AGE_MILLISECONDS((short)3, "ageMilliseconds");
+    AGE_MILLISECONDS((short)3, "ageMilliseconds"),
+    BEGUN((short)4, "begun");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +50,8 @@
           return STARTED_AT_MILLISECONDS;
         case 3: // AGE_MILLISECONDS
           return AGE_MILLISECONDS;
+        case 4: // BEGUN
+          return BEGUN;
         default:
           return null;
       }
@@ -92,7 +97,9 @@
   // isset id assignments
   private static final int __STARTEDATMILLISECONDS_ISSET_ID = 0;
   private static final int __AGEMILLISECONDS_ISSET_ID = 1;
+  private static final int __BEGUN_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.BEGUN};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -102,6 +109,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.AGE_MILLISECONDS, new org.apache.thrift.meta_data.FieldMetaData("ageMilliseconds", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.BEGUN, new org.apache.thrift.meta_data.FieldMetaData("begun", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WirePromptCrash.class, metaDataMap);
   }
@@ -132,6 +141,7 @@
     }
     this.startedAtMilliseconds = other.startedAtMilliseconds;
     this.ageMilliseconds = other.ageMilliseconds;
+    this.begun = other.begun;
   }
 
   @Override
@@ -146,6 +156,8 @@
     this.startedAtMilliseconds = 0;
     setAgeMillisecondsIsSet(false);
     this.ageMilliseconds = 0;
+    setBegunIsSet(false);
+    this.begun = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -219,6 +231,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AGEMILLISECONDS_ISSET_ID, value);
   }
 
+  public boolean isBegun() {
+    return this.begun;
+  }
+
+  public WirePromptCrash setBegun(boolean begun) {
+    this.begun = begun;
+    setBegunIsSet(true);
+    return this;
+  }
+
+  public void unsetBegun() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BEGUN_ISSET_ID);
+  }
+
+  /** Returns true if field begun is set (has been assigned a value) and false otherwise */
+  public boolean isSetBegun() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BEGUN_ISSET_ID);
+  }
+
+  public void setBegunIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BEGUN_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -246,6 +281,14 @@
       }
       break;
 
+    case BEGUN:
+      if (value == null) {
+        unsetBegun();
+      } else {
+        setBegun((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -262,6 +305,9 @@
     case AGE_MILLISECONDS:
       return getAgeMilliseconds();
 
+    case BEGUN:
+      return isBegun();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -280,6 +326,8 @@
       return isSetStartedAtMilliseconds();
     case AGE_MILLISECONDS:
       return isSetAgeMilliseconds();
+    case BEGUN:
+      return isSetBegun();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -324,6 +372,15 @@
         return false;
     }
 
+    boolean this_present_begun = true && this.isSetBegun();
+    boolean that_present_begun = true && that.isSetBegun();
+    if (this_present_begun || that_present_begun) {
+      if (!(this_present_begun && that_present_begun))
+        return false;
+      if (this.begun != that.begun)
+        return false;
+    }
+
     return true;
   }
 
@@ -339,6 +396,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(ageMilliseconds);
 
+    hashCode = hashCode * 8191 + ((isSetBegun()) ? 131071 : 524287);
+    if (isSetBegun())
+      hashCode = hashCode * 8191 + ((begun) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -380,6 +441,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetBegun(), other.isSetBegun());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBegun()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.begun, other.begun);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -419,6 +490,12 @@
     sb.append("ageMilliseconds:");
     sb.append(this.ageMilliseconds);
     first = false;
+    if (isSetBegun()) {
+      if (!first) sb.append(", ");
+      sb.append("begun:");
+      sb.append(this.begun);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -490,6 +567,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // BEGUN
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.begun = iprot.readBool();
+              struct.setBegunIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -517,6 +602,11 @@
       oprot.writeFieldBegin(AGE_MILLISECONDS_FIELD_DESC);
       oprot.writeI64(struct.ageMilliseconds);
       oprot.writeFieldEnd();
+      if (struct.isSetBegun()) {
+        oprot.writeFieldBegin(BEGUN_FIELD_DESC);
+        oprot.writeBool(struct.begun);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -545,7 +635,10 @@
       if (struct.isSetAgeMilliseconds()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetBegun()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetUpstream()) {
         oprot.writeString(struct.upstream);
       }
@@ -555,12 +648,15 @@
       if (struct.isSetAgeMilliseconds()) {
         oprot.writeI64(struct.ageMilliseconds);
       }
+      if (struct.isSetBegun()) {
+        oprot.writeBool(struct.begun);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WirePromptCrash struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.upstream = iprot.readString();
         struct.setUpstreamIsSet(true);
@@ -573,6 +669,10 @@
         struct.ageMilliseconds = iprot.readI64();
         struct.setAgeMillisecondsIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.begun = iprot.readBool();
+        struct.setBegunIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -59,7 +59,8 @@
 
     private Downstream<? super CallResponse> responseReceiver;
     private boolean ended;
-    private boolean eventReceived;
+    private Optional<Instant> firstEventAt = Optional.empty();
+    private Instant lastEventAt = Instant.EPOCH;
     private UpstreamExchange exchange;
     private CallResponse.Complete upstreamError;
     private HttpResponse responseHead;
@@ -201,7 +202,7 @@
     private void sendForResponse(final Send instruction, final Optional<KvCacheReference> kvCacheReference) {
         responseHead = null;
         upstreamError = null;
-        eventReceived = false;
+        firstEventAt = Optional.empty();
         responseBody = new ByteArrayOutputStream();
         relay.discardPartialEvent();
         exchange = pool.send(
@@ -243,7 +244,12 @@
     private void breakAttempt(final Send instruction, final String reason) {
         recordFailure(instruction.upstream(), new ExchangeEvent.Failed(true, false, reason));
         exchange.cancel();
-        postAttemptEnd(new CallResult.Broken(false, stream != null));
+        postAttemptEnd(broken(false));
+    }
+
+    private CallResult.Broken broken(final boolean silent) {
+        return new CallResult.Broken(
+                silent, stream != null, firstEventAt.map(first -> Duration.between(first, lastEventAt)));
     }
 
     private void handleBody(final Send instruction, final ByteBuf content) {
@@ -272,10 +278,11 @@
 
     private void forward(final ByteBuf events) {
         exchange.restartTimeouts();
-        eventReceived = true;
+        lastEventAt = openCalls.now();
+        firstEventAt = firstEventAt.or(() -> Optional.of(lastEventAt));
         if (stream == null) {
             stream = new ResponseStream(autoRead -> exchange.setAutoRead(autoRead), this::abandon, channel::close);
-            openCalls.metrics().recordFirstEvent(Duration.between(receivedAt, openCalls.now()));
+            openCalls.metrics().recordFirstEvent(Duration.between(receivedAt, lastEventAt));
             responseReceiver.success(new CallResponse.Streamed(
                     responseHead.status().code(), openCalls.protocol().forwardedHeaders(responseHead), stream));
         }
@@ -304,7 +311,7 @@
 
     private void completeStream() {
         if (relay.hasPartialEvent() || stream == null || endedBeforeFirstEvent()) {
-            postAttemptEnd(new CallResult.Broken(false, stream != null));
+            postAttemptEnd(broken(false));
             return;
         }
         postAttemptEnd(new CallResult.Served());
@@ -314,7 +321,7 @@
 
     /** Returns whether a response without a length ended before its first event, as one that broke off does too. */
     private boolean endedBeforeFirstEvent() {
-        return !eventReceived
+        return firstEventAt.isEmpty()
                 && !HttpUtil.isContentLengthSet(responseHead)
                 && !HttpUtil.isTransferEncodingChunked(responseHead);
     }
@@ -343,7 +350,7 @@
     }
 
     private CallResult toResult(final ExchangeEvent.Failed failed) {
-        return failed.sent() ? new CallResult.Broken(failed.timedOut(), stream != null) : new CallResult.NotRun(false);
+        return failed.sent() ? broken(failed.timedOut()) : new CallResult.NotRun(false);
     }
 
     private void recordFailure(final RegisteredUpstream upstream, final ExchangeEvent.Failed failed) {
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -138,6 +138,7 @@
   1: string upstream
   2: i64 startedAtMilliseconds
   3: i64 ageMilliseconds
+  4: optional bool begun
 }
 
 struct WirePromptEvidence {
--- a/src/test/java/org/lacewingstep/command/PlatformTestSite.java
+++ b/src/test/java/org/lacewingstep/command/PlatformTestSite.java
@@ -72,9 +72,10 @@
     private static final String UPSTREAM =
             """
             {"service":"%s","address":"127.0.0.1:%d","zone":"a","version":"v1","slots":6,"state":"ready",
-            "coldRemainingMs":0,"seq":1,"born":1%s}""";
+            "coldRemainingMs":0,"seq":1,"born":%d%s}""";
 
     private final AtomicInteger calls = new AtomicInteger();
+    private final AtomicInteger starts = new AtomicInteger();
     private final int callerPort = freePort();
     private final HttpClient client = HttpClient.newHttpClient();
     private final RawUpstream decode = new RawUpstream();
@@ -88,11 +89,10 @@
         LogSetup.configure(false, "error");
         final int readyPort = freePort();
         store.put("op/config", TABLE);
-        store.put("servers/i-1", UPSTREAM.formatted("single", single.port(), ""));
-        store.put("servers/i-2", UPSTREAM.formatted("pair", pair.getFirst().port(), ""));
-        store.put("servers/i-3", UPSTREAM.formatted("pair", pair.getLast().port(), ""));
-        store.put("servers/i-4", UPSTREAM.formatted("engine", prefill.port(), ",\"stage\":\"prefill\""));
-        store.put("servers/i-5", UPSTREAM.formatted("engine", decode.port(), ",\"stage\":\"decode\""));
+        register("i-1", "single", single, "");
+        restartPair();
+        register("i-4", "engine", prefill, ",\"stage\":\"prefill\"");
+        register("i-5", "engine", decode, ",\"stage\":\"decode\"");
         final Path file = Files.writeString(
                 folder.resolve("node.json"), SETTINGS.formatted(freePort(), callerPort, readyPort, store.port()));
         process = new PlatformProcess(file, freePort());
@@ -112,6 +112,17 @@
         }
     }
 
+    private void register(final String name, final String service, final RawUpstream upstream, final String stage) {
+        store.put("servers/" + name, UPSTREAM.formatted(service, upstream.port(), starts.get(), stage));
+    }
+
+    /** Registers both upstreams of a pair with a new time of start, as after a crash. */
+    void restartPair() {
+        starts.incrementAndGet();
+        register("i-2", "pair", pair.getFirst(), "");
+        register("i-3", "pair", pair.getLast(), "");
+    }
+
     /** Returns the upstream of {@link #ONCE}. */
     RawUpstream single() {
         return single;
--- a/src/test/java/org/lacewingstep/controller/PromptControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/PromptControllerTest.java
@@ -17,6 +17,7 @@
 import org.lacewingstep.blackboard.PromptSection;
 import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.PromptPart;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
@@ -103,15 +104,56 @@
     }
 
     @Test
-    void begunResponseThatBreaksOffShowsThatThePartIsSound() {
+    void responseThatBreaksOffLongAfterItsFirstEventShowsThatThePartIsSound() {
         final RequestIdentifier inFlight = site.call("/read/x", 1, List.of(SHARED, HARMFUL));
         quarantine();
 
-        site.endAttempt(inFlight, new CallResult.Broken(false, true));
+        site.endAttempt(inFlight, new CallResult.Broken(false, true, Optional.of(PromptController.SOUND_PROGRESS)));
 
         assertThat(site.board().serving().prompts().suspicions()).isEmpty();
     }
 
+    /** An upstream that crashes as it begins a response may have sent the first events of it. */
+    @Test
+    void responseThatBreaksOffSoonAfterItsFirstEventIsACrash() {
+        final RequestIdentifier inFlight = site.call("/read/x", 1, List.of(SHARED, HARMFUL));
+        quarantine();
+
+        site.endAttempt(
+                inFlight,
+                new CallResult.Broken(false, true, Optional.of(PromptController.SOUND_PROGRESS.minusMillis(1))));
+
+        assertThat(suspicion(HARMFUL).crashes()).hasSize(4);
+        assertThat(suspicion(HARMFUL).quarantinedAt()).isPresent();
+    }
+
+    /** The events of the attempt before say nothing about an upstream that crashes before its first event. */
+    @Test
+    void crashBeforeTheFirstEventOfAResumedStreamCounts() {
+        final RequestIdentifier inFlight = site.call("/read/x", 1, List.of(SHARED, HARMFUL));
+        quarantine();
+
+        site.endAttempt(inFlight, new CallResult.Broken(false, true));
+
+        assertThat(suspicion(HARMFUL).crashes()).hasSize(4);
+    }
+
+    @Test
+    void crashOfAnUpstreamThatWasSilentBeforeCounts() {
+        final SiteFixture reserving = SiteFixture.reserving();
+        final RequestIdentifier request = reserving.call("/stream/x", 100, List.of(SHARED, HARMFUL));
+        final UpstreamName upstream = ((CallInstruction.Reserve) reserving.lastInstruction(request))
+                .upstream()
+                .name();
+        reserving.step(new Event.ReservationCompleted(request, upstream, new CallResult.Served()));
+        final int attempt = reserving.lastSend(request).attempt();
+        reserving.step(new Event.UpstreamStalled(upstream, Optional.of(new AttemptIdentifier(request, attempt))));
+
+        reserving.step(new Event.CallAttemptEnded(request, attempt, new CallResult.Broken(false, false)));
+
+        assertThat(reserving.board().serving().prompts().suspicions()).containsOnlyKeys(SHARED, HARMFUL);
+    }
+
     @Test
     void silenceAndFailuresOfUpstreamsAreNoCrashes() {
         for (final CallResult result : List.of(
@@ -295,7 +337,7 @@
     }
 
     private static PromptEvidence.CrashReport crash(final String upstream, final Duration age) {
-        return new PromptEvidence.CrashReport(new UpstreamStart(new UpstreamName(upstream), 1), age);
+        return new PromptEvidence.CrashReport(new UpstreamStart(new UpstreamName(upstream), 1), age, false);
     }
 
     private static PromptEvidence evidence(final PromptEvidence.CrashReport... crashes) {
--- a/src/test/java/org/lacewingstep/controller/PromptQuarantineTest.java
+++ b/src/test/java/org/lacewingstep/controller/PromptQuarantineTest.java
@@ -44,6 +44,24 @@
         assertThat(traffic.isQuarantinedEverywhere(HARMFUL)).isTrue();
     }
 
+    /** An upstream that crashes after the first event of a response crashes as surely as one that crashes before it. */
+    @ParameterizedTest
+    @CsvSource({"6,100", "6,400", "6,1500", "24,100", "24,400", "24,1500"})
+    void harmfulCallsThatCrashUpstreamsAfterTheirFirstEventStopReachingUpstreams(
+            final int instances, final int interval) {
+        final PromptTraffic traffic = new PromptTraffic(instances, interval);
+        traffic.crashAfterFirstEvent();
+        traffic.run(Duration.ofSeconds(2), () -> {});
+        traffic.run(Duration.ofSeconds(40), mixedCalls(traffic, instances, interval));
+
+        assertThat(traffic.harmfulSendsAfter(boundAfterTheLastAllowedCrash(traffic)))
+                .as(
+                        "sends after the fifth of %s crashes",
+                        traffic.harmfulCrashes().size())
+                .isLessThanOrEqualTo(SENDS_ALLOWED);
+        assertThat(traffic.isQuarantinedSomewhere(SHARED)).isFalse();
+    }
+
     @ParameterizedTest
     @CsvSource({"6,100", "6,400", "24,400"})
     void soundCallsWithTheSameFirstPartBeginAtTheFirstAttempt(final int instances, final int interval) {
--- a/src/test/java/org/lacewingstep/controller/PromptTraffic.java
+++ b/src/test/java/org/lacewingstep/controller/PromptTraffic.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 
@@ -41,6 +42,7 @@
     private final List<SentCall> calls = new ArrayList<>();
     private final List<Instant> harmfulSends = new ArrayList<>();
     private final List<Instant> harmfulCrashes = new ArrayList<>();
+    private boolean crashesAfterFirstEvent;
     private int starts;
 
     /** A call and the instructions that the traffic threads have received for it. */
@@ -101,6 +103,11 @@
         return call;
     }
 
+    /** Lets upstreams send an event of the response to a harmful call before they crash. */
+    void crashAfterFirstEvent() {
+        crashesAfterFirstEvent = true;
+    }
+
     /** Crashes the upstreams with the most running attempts at the same moment. */
     void crash(final int count) {
         running.stream()
@@ -124,14 +131,18 @@
         fleet.write(new StoreChange.UpstreamUnregistered(upstream));
         for (final Attempt attempt : List.copyOf(attempts)) {
             if (attempt.upstream().equals(upstream)) {
-                end(
-                        attempt,
-                        new CallResult.Broken(
-                                false, hasBegun(attempt) && !attempt.call().isHarmful()));
+                end(attempt, new CallResult.Broken(false, hasBegun(attempt), progress(attempt)));
             }
         }
     }
 
+    private Optional<Duration> progress(final Attempt attempt) {
+        if (attempt.call().isHarmful() ? !crashesAfterFirstEvent : !hasBegun(attempt)) {
+            return Optional.empty();
+        }
+        return Optional.of(Duration.between(attempt.startedAt().plus(TIME_TO_FIRST_EVENT), fleet.now()));
+    }
+
     private boolean hasBegun(final Attempt attempt) {
         return !fleet.now().isBefore(attempt.startedAt().plus(TIME_TO_FIRST_EVENT));
     }
