Put parts on trial after five broken attempts, also at one moment

Cause: crashes within 150 ms are one incident, as a rack may have failed, and a quarantine needs three incidents.

PromptQuarantineTest's clumps failed in 3 of 7 cases before, 0 after; mass and rolling crashes still refuse no sound call. Counting crashed engines in place of broken attempts was not enough.

Why it works: the trial asks for attempts that broke off, not for incidents, and sends one request at a time, so that a part that only shared a rack is released by its first response.

--- a/src/main/java/org/lacewingstep/blackboard/PromptEvidence.java
+++ b/src/main/java/org/lacewingstep/blackboard/PromptEvidence.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
+import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.UpstreamStart;
 
 /**
@@ -27,6 +29,12 @@
      * @param start the start of the upstream that ended with the crash, not null
      * @param age time since the crash, not null
      * @param begun whether the upstream had sent events of a response to a request with the part
+     * @param calls the calls with the part that broke off, as far as they are counted, not null
      */
-    public record CrashReport(UpstreamStart start, Duration age, boolean begun) {}
+    public record CrashReport(UpstreamStart start, Duration age, boolean begun, Set<RequestIdentifier> calls) {
+        /** Copies the set. */
+        public CrashReport {
+            calls = Set.copyOf(calls);
+        }
+    }
 }
--- a/src/main/java/org/lacewingstep/blackboard/PromptSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/PromptSection.java
@@ -1,8 +1,11 @@
 package org.lacewingstep.blackboard;
 
 import java.time.Instant;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.lacewingstep.domain.PromptPart;
 import org.lacewingstep.domain.RequestIdentifier;
@@ -141,8 +144,17 @@
      * @param start the start of the upstream that ended with the crash, not null
      * @param at when the crash was seen, not null
      * @param begun whether the upstream had sent events of a response to a request with the part
+     * @param calls the calls with the part that broke off, at most {@value #MAX_CALLS}, not null
      */
-    public record Crash(UpstreamStart start, Instant at, boolean begun) {
+    public record Crash(UpstreamStart start, Instant at, boolean begun, Set<RequestIdentifier> calls) {
+        /** Most calls that are kept of one crash; more are no stronger evidence. */
+        private static final int MAX_CALLS = 5;
+
+        /** Copies the calls and drops those beyond the limit. */
+        public Crash {
+            calls = calls.stream().sorted().limit(MAX_CALLS).collect(Collectors.toUnmodifiableSet());
+        }
+
         /**
          * Merges two reports of one crash; the earlier time is kept.
          *
@@ -150,7 +162,9 @@
          * @return the merged report, never null
          */
         public Crash merge(final Crash other) {
-            return new Crash(start, at.isBefore(other.at) ? at : other.at, begun || other.begun);
+            final Set<RequestIdentifier> all = new HashSet<>(calls);
+            all.addAll(other.calls);
+            return new Crash(start, at.isBefore(other.at) ? at : other.at, begun || other.begun, all);
         }
     }
 
--- a/src/main/java/org/lacewingstep/controller/PromptController.java
+++ b/src/main/java/org/lacewingstep/controller/PromptController.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallParameters;
@@ -116,7 +117,7 @@
             case CallResult.Broken broken when isSound(broken) -> handleResponse(board, parts, now);
             case CallResult.Broken broken
             when !broken.silent() ->
-                handleCrash(board, parts, upstream, broken.progress().isPresent(), now);
+                handleCrash(board, call, upstream, broken.progress().isPresent(), now);
             case CallResult.Broken broken -> Outcome.of(section);
             case CallResult.FailedByUpstream failed -> Outcome.of(section);
             case CallResult.NotRun notRun -> Outcome.of(section);
@@ -143,12 +144,17 @@
 
     private static Outcome<PromptSection> handleCrash(
             final Blackboard board,
-            final List<PromptPart> parts,
+            final Call call,
             final UpstreamName upstream,
             final boolean begun,
             final Instant now) {
+        final List<PromptPart> parts = call.parameters().promptParts();
         final long startedAtMillis = board.serving().loads().of(upstream).startedAtMillis();
-        final Crash crash = new Crash(new UpstreamStart(upstream, startedAtMillis), now, begun);
+        final Crash crash = new Crash(
+                new UpstreamStart(upstream, startedAtMillis),
+                now,
+                begun,
+                Set.of(call.parameters().request()));
         final OutcomeBuilder builder = new OutcomeBuilder();
         PromptSection next = board.serving().prompts();
         for (int i = 0; i < parts.size(); i++) {
@@ -194,7 +200,7 @@
         }
         boolean news = false;
         for (final PromptEvidence.CrashReport report : evidence.crashes()) {
-            final Crash crash = new Crash(report.start(), timeOf(report.age(), now), report.begun());
+            final Crash crash = new Crash(report.start(), timeOf(report.age(), now), report.begun(), report.calls());
             if (crash.at().isAfter(now.minus(PromptQuarantine.CRASH_LIFETIME))) {
                 news |= !isKnown(next, part, crash.start());
                 next = addCrash(next, part, evidence.position(), crash);
--- a/src/main/java/org/lacewingstep/controller/PromptQuarantine.java
+++ b/src/main/java/org/lacewingstep/controller/PromptQuarantine.java
@@ -31,11 +31,14 @@
     /** Crash incidents, before any event of a response, after which requests with a part are refused. */
     static final int INCIDENT_THRESHOLD = 3;
 
-    /** Crashes, some of them after the first event of a response, after which requests with a part are sent one at a time. */
+    /** Attempts that broke off with crashes, at whatever moments, after which a part is put on trial. */
     private static final int TRIAL_THRESHOLD = 5;
 
-    /** Crashes of a part on trial that no likelier part accounts for. */
-    private static final int UNEXPLAINED_CRASH_THRESHOLD = 3;
+    /** Attempts that broke off with crashes and that no likelier part on trial accounts for. */
+    private static final int UNEXPLAINED_ATTEMPT_THRESHOLD = 3;
+
+    /** Crashed upstreams below which a part is not put on trial, as any upstream may crash by itself. */
+    private static final int TRIAL_UPSTREAM_THRESHOLD = 2;
 
     /** Crashes of trial requests after which requests with a part are refused. */
     private static final int TRIAL_CRASH_THRESHOLD = 2;
@@ -181,18 +184,29 @@
 
     /** Returns the time of the crash that began the trial, which is about the same at all instances. */
     private static Instant trialStart(final Suspicion suspicion, final Instant now) {
-        return trialEvidence(suspicion, now).get(TRIAL_THRESHOLD - 1).at();
+        final List<Crash> crashes = countedCrashes(suspicion, now);
+        int count = 1;
+        while (countAttempts(crashes.subList(0, count)) < TRIAL_THRESHOLD) {
+            count++;
+        }
+        return crashes.get(Math.max(count, TRIAL_UPSTREAM_THRESHOLD) - 1).at();
+    }
+
+    /** Counts the attempts that broke off; a report of an earlier build names none of them. */
+    private static int countAttempts(final List<Crash> crashes) {
+        return crashes.stream()
+                .mapToInt(crash -> Math.max(1, crash.calls().size()))
+                .sum();
     }
 
     /**
-     * Finds the parts to put on trial: parts that have crashed many upstreams after the first events of the responses,
-     * as a sound part may when the upstreams crash for another reason.
+     * Finds the parts to put on trial: those on which many attempts broke off with crashes, though perhaps at one moment
+     * or after the first events of the responses, as it also happens when upstreams crash for another reason.
      */
     private static Set<PromptPart> findTrials(
             final Blackboard board, final PromptSection section, final Set<PromptPart> quarantined, final Instant now) {
         final Set<PromptPart> tried = new HashSet<>();
-        if (section.suspicions().values().stream()
-                .noneMatch(known -> known.crashes().size() >= TRIAL_THRESHOLD)) {
+        if (section.suspicions().values().stream().noneMatch(known -> hasCrashes(known, TRIAL_UPSTREAM_THRESHOLD))) {
             return tried;
         }
         final Instant suspectedBefore = now.minus(contradictionPeriod(board));
@@ -200,9 +214,10 @@
         quarantined.forEach(
                 part -> explained.addAll(starts(section.suspicions().get(part).crashes())));
         for (final Map.Entry<PromptPart, Suspicion> entry : likeliestFirst(section)) {
-            final List<Crash> crashes = trialEvidence(entry.getValue(), now);
-            final boolean unexplained = without(crashes, explained).size() >= UNEXPLAINED_CRASH_THRESHOLD;
-            if (crashes.size() >= TRIAL_THRESHOLD
+            final List<Crash> crashes = countedCrashes(entry.getValue(), now);
+            final boolean unexplained = countAttempts(without(crashes, explained)) >= UNEXPLAINED_ATTEMPT_THRESHOLD;
+            if (crashes.size() >= TRIAL_UPSTREAM_THRESHOLD
+                    && countAttempts(crashes) >= TRIAL_THRESHOLD
                     && !crashes.getFirst().at().isAfter(suspectedBefore)
                     && !isProtected(section, entry.getKey(), now)
                     && (unexplained || quarantined.contains(entry.getKey()))) {
@@ -213,11 +228,6 @@
         return tried;
     }
 
-    private static List<Crash> trialEvidence(final Suspicion suspicion, final Instant now) {
-        final List<Crash> crashes = countedCrashes(suspicion, now);
-        return crashes.stream().anyMatch(Crash::begun) ? crashes : List.of();
-    }
-
     /**
      * Finds the parts to quarantine.
      *
@@ -228,8 +238,7 @@
         final Duration window = incidentWindow(board);
         final Set<PromptPart> causes = new HashSet<>();
         final Set<UpstreamStart> explained = new HashSet<>();
-        if (section.suspicions().values().stream()
-                .noneMatch(known -> known.crashes().size() >= INCIDENT_THRESHOLD)) {
+        if (section.suspicions().values().stream().noneMatch(known -> hasCrashes(known, INCIDENT_THRESHOLD))) {
             return causes;
         }
         final List<List<Crash>> likelier = new ArrayList<>();
@@ -310,6 +319,10 @@
                         .toList();
     }
 
+    private static boolean hasCrashes(final Suspicion suspicion, final int count) {
+        return suspicion.crashes().size() >= count;
+    }
+
     private static List<Crash> countedCrashes(final Suspicion suspicion, final Instant now) {
         final Instant oldest = now.minus(CRASH_LIFETIME);
         return suspicion.crashes().stream()
--- a/src/main/java/org/lacewingstep/controller/PromptReports.java
+++ b/src/main/java/org/lacewingstep/controller/PromptReports.java
@@ -85,6 +85,7 @@
     }
 
     private static PromptEvidence.CrashReport describe(final Crash crash, final Instant now) {
-        return new PromptEvidence.CrashReport(crash.start(), Duration.between(crash.at(), now), crash.begun());
+        return new PromptEvidence.CrashReport(
+                crash.start(), Duration.between(crash.at(), now), crash.begun(), crash.calls());
     }
 }
--- a/src/main/java/org/lacewingstep/peer/RecordCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RecordCodec.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.lacewingstep.blackboard.PeerMessage;
 import org.lacewingstep.blackboard.PromptEvidence;
@@ -164,7 +166,10 @@
                                         crash.start().upstream().value(),
                                         crash.start().startedAtMillis(),
                                         crash.age().toMillis())
-                                .setBegun(crash.begun()))
+                                .setBegun(crash.begun())
+                                .setCalls(crash.calls().stream()
+                                        .map(RequestIdentifier::value)
+                                        .toList()))
                         .toList());
         evidence.servedAge().ifPresent(age -> wire.setServedAgeMilliseconds(age.toMillis()));
         return wire;
@@ -178,7 +183,12 @@
                                 new UpstreamStart(
                                         new UpstreamName(crash.getUpstream()), crash.getStartedAtMilliseconds()),
                                 Duration.ofMillis(crash.getAgeMilliseconds()),
-                                crash.isBegun()))
+                                crash.isBegun(),
+                                crash.isSetCalls()
+                                        ? crash.getCalls().stream()
+                                                .map(RequestIdentifier::new)
+                                                .collect(Collectors.toSet())
+                                        : Set.of()))
                         .toList(),
                 wire.isSetServedAgeMilliseconds()
                         ? Optional.of(Duration.ofMillis(wire.getServedAgeMilliseconds()))
--- a/src/main/java/org/lacewingstep/peer/wire/WireLoadDigest.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireLoadDigest.java
@@ -336,14 +336,14 @@
           case 1: // REPORTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list90 = iprot.readListBegin();
-                struct.reports = new java.util.ArrayList<WireLoadReport>(_list90.size);
-                @org.apache.thrift.annotation.Nullable WireLoadReport _elem91;
-                for (int _i92 = 0; _i92 < _list90.size; ++_i92)
+                org.apache.thrift.protocol.TList _list114 = iprot.readListBegin();
+                struct.reports = new java.util.ArrayList<WireLoadReport>(_list114.size);
+                @org.apache.thrift.annotation.Nullable WireLoadReport _elem115;
+                for (int _i116 = 0; _i116 < _list114.size; ++_i116)
                 {
-                  _elem91 = new WireLoadReport();
-                  _elem91.read(iprot);
-                  struct.reports.add(_elem91);
+                  _elem115 = new WireLoadReport();
+                  _elem115.read(iprot);
+                  struct.reports.add(_elem115);
                 }
                 iprot.readListEnd();
               }
@@ -372,9 +372,9 @@
         oprot.writeFieldBegin(REPORTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-          for (WireLoadReport _iter93 : struct.reports)
+          for (WireLoadReport _iter117 : struct.reports)
           {
-            _iter93.write(oprot);
+            _iter117.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -406,9 +406,9 @@
       if (struct.isSetReports()) {
         {
           oprot.writeI32(struct.reports.size());
-          for (WireLoadReport _iter94 : struct.reports)
+          for (WireLoadReport _iter118 : struct.reports)
           {
-            _iter94.write(oprot);
+            _iter118.write(oprot);
           }
         }
       }
@@ -420,14 +420,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list95 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reports = new java.util.ArrayList<WireLoadReport>(_list95.size);
-          @org.apache.thrift.annotation.Nullable WireLoadReport _elem96;
-          for (int _i97 = 0; _i97 < _list95.size; ++_i97)
+          org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reports = new java.util.ArrayList<WireLoadReport>(_list119.size);
+          @org.apache.thrift.annotation.Nullable WireLoadReport _elem120;
+          for (int _i121 = 0; _i121 < _list119.size; ++_i121)
           {
-            _elem96 = new WireLoadReport();
-            _elem96.read(iprot);
-            struct.reports.add(_elem96);
+            _elem120 = new WireLoadReport();
+            _elem120.read(iprot);
+            struct.reports.add(_elem120);
           }
         }
         struct.setReportsIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WirePromptCrash.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WirePromptCrash.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField STARTED_AT_MILLISECONDS_FIELD_DESC = new org.apache.thrift.protocol.TField("startedAtMilliseconds", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField AGE_MILLISECONDS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageMilliseconds", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField BEGUN_FIELD_DESC = new org.apache.thrift.protocol.TField("begun", org.apache.thrift.protocol.TType.BOOL, (short)4);
+  private static final org.apache.thrift.protocol.TField CALLS_FIELD_DESC = new org.apache.thrift.protocol.TField("calls", org.apache.thrift.protocol.TType.LIST, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WirePromptCrashStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WirePromptCrashTupleSchemeFactory();
@@ -22,13 +23,15 @@
   private long startedAtMilliseconds; // required
   private long ageMilliseconds; // required
   private boolean begun; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> calls; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     UPSTREAM((short)1, "upstream"),
     STARTED_AT_MILLISECONDS((short)2, "startedAtMilliseconds"),
     AGE_MILLISECONDS((short)3, "ageMilliseconds"),
-    BEGUN((short)4, "begun");
+    BEGUN((short)4, "begun"),
+    CALLS((short)5, "calls");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return AGE_MILLISECONDS;
         case 4: // BEGUN
           return BEGUN;
+        case 5: // CALLS
+          return CALLS;
         default:
           return null;
       }
@@ -99,7 +104,7 @@
   private static final int __AGEMILLISECONDS_ISSET_ID = 1;
   private static final int __BEGUN_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.BEGUN};
+  private static final _Fields optionals[] = {_Fields.BEGUN,_Fields.CALLS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -111,6 +116,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.BEGUN, new org.apache.thrift.meta_data.FieldMetaData("begun", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.CALLS, new org.apache.thrift.meta_data.FieldMetaData("calls", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WirePromptCrash.class, metaDataMap);
   }
@@ -142,6 +150,10 @@
     this.startedAtMilliseconds = other.startedAtMilliseconds;
     this.ageMilliseconds = other.ageMilliseconds;
     this.begun = other.begun;
+    if (other.isSetCalls()) {
+      java.util.List<java.lang.String> __this__calls = new java.util.ArrayList<java.lang.String>(other.calls);
+      this.calls = __this__calls;
+    }
   }
 
   @Override
@@ -158,6 +170,7 @@
     this.ageMilliseconds = 0;
     setBegunIsSet(false);
     this.begun = false;
+    this.calls = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -254,6 +267,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BEGUN_ISSET_ID, value);
   }
 
+  public int getCallsSize() {
+    return (this.calls == null) ? 0 : this.calls.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getCallsIterator() {
+    return (this.calls == null) ? null : this.calls.iterator();
+  }
+
+  public void addToCalls(java.lang.String elem) {
+    if (this.calls == null) {
+      this.calls = new java.util.ArrayList<java.lang.String>();
+    }
+    this.calls.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getCalls() {
+    return this.calls;
+  }
+
+  public WirePromptCrash setCalls(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> calls) {
+    this.calls = calls;
+    return this;
+  }
+
+  public void unsetCalls() {
+    this.calls = null;
+  }
+
+  /** Returns true if field calls is set (has been assigned a value) and false otherwise */
+  public boolean isSetCalls() {
+    return this.calls != null;
+  }
+
+  public void setCallsIsSet(boolean value) {
+    if (!value) {
+      this.calls = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -289,6 +343,14 @@
       }
       break;
 
+    case CALLS:
+      if (value == null) {
+        unsetCalls();
+      } else {
+        setCalls((java.util.List<java.lang.String>)value);
+      }
+      break;
+
     }
   }
 
@@ -308,6 +370,9 @@
     case BEGUN:
       return isBegun();
 
+    case CALLS:
+      return getCalls();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -328,6 +393,8 @@
       return isSetAgeMilliseconds();
     case BEGUN:
       return isSetBegun();
+    case CALLS:
+      return isSetCalls();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -381,6 +448,15 @@
         return false;
     }
 
+    boolean this_present_calls = true && this.isSetCalls();
+    boolean that_present_calls = true && that.isSetCalls();
+    if (this_present_calls || that_present_calls) {
+      if (!(this_present_calls && that_present_calls))
+        return false;
+      if (!this.calls.equals(that.calls))
+        return false;
+    }
+
     return true;
   }
 
@@ -400,6 +476,10 @@
     if (isSetBegun())
       hashCode = hashCode * 8191 + ((begun) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetCalls()) ? 131071 : 524287);
+    if (isSetCalls())
+      hashCode = hashCode * 8191 + calls.hashCode();
+
     return hashCode;
   }
 
@@ -451,6 +531,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCalls(), other.isSetCalls());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCalls()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.calls, other.calls);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -496,6 +586,16 @@
       sb.append(this.begun);
       first = false;
     }
+    if (isSetCalls()) {
+      if (!first) sb.append(", ");
+      sb.append("calls:");
+      if (this.calls == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.calls);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -575,6 +675,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // CALLS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
+                struct.calls = new java.util.ArrayList<java.lang.String>(_list56.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem57;
+                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+                {
+                  _elem57 = iprot.readString();
+                  struct.calls.add(_elem57);
+                }
+                iprot.readListEnd();
+              }
+              struct.setCallsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -607,6 +725,20 @@
         oprot.writeBool(struct.begun);
         oprot.writeFieldEnd();
       }
+      if (struct.calls != null) {
+        if (struct.isSetCalls()) {
+          oprot.writeFieldBegin(CALLS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.calls.size()));
+            for (java.lang.String _iter59 : struct.calls)
+            {
+              oprot.writeString(_iter59);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -638,7 +770,10 @@
       if (struct.isSetBegun()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetCalls()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetUpstream()) {
         oprot.writeString(struct.upstream);
       }
@@ -651,12 +786,21 @@
       if (struct.isSetBegun()) {
         oprot.writeBool(struct.begun);
       }
+      if (struct.isSetCalls()) {
+        {
+          oprot.writeI32(struct.calls.size());
+          for (java.lang.String _iter60 : struct.calls)
+          {
+            oprot.writeString(_iter60);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WirePromptCrash struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.upstream = iprot.readString();
         struct.setUpstreamIsSet(true);
@@ -673,6 +817,19 @@
         struct.begun = iprot.readBool();
         struct.setBegunIsSet(true);
       }
+      if (incoming.get(4)) {
+        {
+          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.calls = new java.util.ArrayList<java.lang.String>(_list61.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem62;
+          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
+          {
+            _elem62 = iprot.readString();
+            struct.calls.add(_elem62);
+          }
+        }
+        struct.setCallsIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/lacewingstep/peer/wire/WirePromptEvidence.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WirePromptEvidence.java
@@ -590,14 +590,14 @@
           case 3: // CRASHES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
-                struct.crashes = new java.util.ArrayList<WirePromptCrash>(_list56.size);
-                @org.apache.thrift.annotation.Nullable WirePromptCrash _elem57;
-                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
+                struct.crashes = new java.util.ArrayList<WirePromptCrash>(_list64.size);
+                @org.apache.thrift.annotation.Nullable WirePromptCrash _elem65;
+                for (int _i66 = 0; _i66 < _list64.size; ++_i66)
                 {
-                  _elem57 = new WirePromptCrash();
-                  _elem57.read(iprot);
-                  struct.crashes.add(_elem57);
+                  _elem65 = new WirePromptCrash();
+                  _elem65.read(iprot);
+                  struct.crashes.add(_elem65);
                 }
                 iprot.readListEnd();
               }
@@ -642,9 +642,9 @@
         oprot.writeFieldBegin(CRASHES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
-          for (WirePromptCrash _iter59 : struct.crashes)
+          for (WirePromptCrash _iter67 : struct.crashes)
           {
-            _iter59.write(oprot);
+            _iter67.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -696,9 +696,9 @@
       if (struct.isSetCrashes()) {
         {
           oprot.writeI32(struct.crashes.size());
-          for (WirePromptCrash _iter60 : struct.crashes)
+          for (WirePromptCrash _iter68 : struct.crashes)
           {
-            _iter60.write(oprot);
+            _iter68.write(oprot);
           }
         }
       }
@@ -721,14 +721,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.crashes = new java.util.ArrayList<WirePromptCrash>(_list61.size);
-          @org.apache.thrift.annotation.Nullable WirePromptCrash _elem62;
-          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
+          org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.crashes = new java.util.ArrayList<WirePromptCrash>(_list69.size);
+          @org.apache.thrift.annotation.Nullable WirePromptCrash _elem70;
+          for (int _i71 = 0; _i71 < _list69.size; ++_i71)
           {
-            _elem62 = new WirePromptCrash();
-            _elem62.read(iprot);
-            struct.crashes.add(_elem62);
+            _elem70 = new WirePromptCrash();
+            _elem70.read(iprot);
+            struct.crashes.add(_elem70);
           }
         }
         struct.setCrashesIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WireRolePlan.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireRolePlan.java
@@ -505,14 +505,14 @@
           case 2: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list74 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<WireRoleChange>(_list74.size);
-                @org.apache.thrift.annotation.Nullable WireRoleChange _elem75;
-                for (int _i76 = 0; _i76 < _list74.size; ++_i76)
+                org.apache.thrift.protocol.TList _list98 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<WireRoleChange>(_list98.size);
+                @org.apache.thrift.annotation.Nullable WireRoleChange _elem99;
+                for (int _i100 = 0; _i100 < _list98.size; ++_i100)
                 {
-                  _elem75 = new WireRoleChange();
-                  _elem75.read(iprot);
-                  struct.changes.add(_elem75);
+                  _elem99 = new WireRoleChange();
+                  _elem99.read(iprot);
+                  struct.changes.add(_elem99);
                 }
                 iprot.readListEnd();
               }
@@ -554,9 +554,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (WireRoleChange _iter77 : struct.changes)
+          for (WireRoleChange _iter101 : struct.changes)
           {
-            _iter77.write(oprot);
+            _iter101.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -600,9 +600,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (WireRoleChange _iter78 : struct.changes)
+          for (WireRoleChange _iter102 : struct.changes)
           {
-            _iter78.write(oprot);
+            _iter102.write(oprot);
           }
         }
       }
@@ -621,14 +621,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list79 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<WireRoleChange>(_list79.size);
-          @org.apache.thrift.annotation.Nullable WireRoleChange _elem80;
-          for (int _i81 = 0; _i81 < _list79.size; ++_i81)
+          org.apache.thrift.protocol.TList _list103 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<WireRoleChange>(_list103.size);
+          @org.apache.thrift.annotation.Nullable WireRoleChange _elem104;
+          for (int _i105 = 0; _i105 < _list103.size; ++_i105)
           {
-            _elem80 = new WireRoleChange();
-            _elem80.read(iprot);
-            struct.changes.add(_elem80);
+            _elem104 = new WireRoleChange();
+            _elem104.read(iprot);
+            struct.changes.add(_elem104);
           }
         }
         struct.setChangesIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
@@ -536,14 +536,14 @@
           case 1: // USES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
-                struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list64.size);
-                @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem65;
-                for (int _i66 = 0; _i66 < _list64.size; ++_i66)
+                org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
+                struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list72.size);
+                @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem73;
+                for (int _i74 = 0; _i74 < _list72.size; ++_i74)
                 {
-                  _elem65 = new WireUpstreamUse();
-                  _elem65.read(iprot);
-                  struct.uses.add(_elem65);
+                  _elem73 = new WireUpstreamUse();
+                  _elem73.read(iprot);
+                  struct.uses.add(_elem73);
                 }
                 iprot.readListEnd();
               }
@@ -555,15 +555,15 @@
           case 2: // SPENT
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map67 = iprot.readMapBegin();
-                struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map67.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key68;
-                double _val69;
-                for (int _i70 = 0; _i70 < _map67.size; ++_i70)
+                org.apache.thrift.protocol.TMap _map75 = iprot.readMapBegin();
+                struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map75.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key76;
+                double _val77;
+                for (int _i78 = 0; _i78 < _map75.size; ++_i78)
                 {
-                  _key68 = iprot.readString();
-                  _val69 = iprot.readDouble();
-                  struct.spent.put(_key68, _val69);
+                  _key76 = iprot.readString();
+                  _val77 = iprot.readDouble();
+                  struct.spent.put(_key76, _val77);
                 }
                 iprot.readMapEnd();
               }
@@ -575,14 +575,14 @@
           case 3: // PROMPTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list71 = iprot.readListBegin();
-                struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list71.size);
-                @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem72;
-                for (int _i73 = 0; _i73 < _list71.size; ++_i73)
+                org.apache.thrift.protocol.TList _list79 = iprot.readListBegin();
+                struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list79.size);
+                @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem80;
+                for (int _i81 = 0; _i81 < _list79.size; ++_i81)
                 {
-                  _elem72 = new WirePromptEvidence();
-                  _elem72.read(iprot);
-                  struct.prompts.add(_elem72);
+                  _elem80 = new WirePromptEvidence();
+                  _elem80.read(iprot);
+                  struct.prompts.add(_elem80);
                 }
                 iprot.readListEnd();
               }
@@ -611,9 +611,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (WireUpstreamUse _iter74 : struct.uses)
+          for (WireUpstreamUse _iter82 : struct.uses)
           {
-            _iter74.write(oprot);
+            _iter82.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -623,10 +623,10 @@
         oprot.writeFieldBegin(SPENT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE, struct.spent.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter75 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter83 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter75.getKey());
-            oprot.writeDouble(_iter75.getValue());
+            oprot.writeString(_iter83.getKey());
+            oprot.writeDouble(_iter83.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -637,9 +637,9 @@
           oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-            for (WirePromptEvidence _iter76 : struct.prompts)
+            for (WirePromptEvidence _iter84 : struct.prompts)
             {
-              _iter76.write(oprot);
+              _iter84.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -678,28 +678,28 @@
       if (struct.isSetUses()) {
         {
           oprot.writeI32(struct.uses.size());
-          for (WireUpstreamUse _iter77 : struct.uses)
+          for (WireUpstreamUse _iter85 : struct.uses)
           {
-            _iter77.write(oprot);
+            _iter85.write(oprot);
           }
         }
       }
       if (struct.isSetSpent()) {
         {
           oprot.writeI32(struct.spent.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter78 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter86 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter78.getKey());
-            oprot.writeDouble(_iter78.getValue());
+            oprot.writeString(_iter86.getKey());
+            oprot.writeDouble(_iter86.getValue());
           }
         }
       }
       if (struct.isSetPrompts()) {
         {
           oprot.writeI32(struct.prompts.size());
-          for (WirePromptEvidence _iter79 : struct.prompts)
+          for (WirePromptEvidence _iter87 : struct.prompts)
           {
-            _iter79.write(oprot);
+            _iter87.write(oprot);
           }
         }
       }
@@ -711,43 +711,43 @@
       java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list80 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list80.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem81;
-          for (int _i82 = 0; _i82 < _list80.size; ++_i82)
+          org.apache.thrift.protocol.TList _list88 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list88.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem89;
+          for (int _i90 = 0; _i90 < _list88.size; ++_i90)
           {
-            _elem81 = new WireUpstreamUse();
-            _elem81.read(iprot);
-            struct.uses.add(_elem81);
+            _elem89 = new WireUpstreamUse();
+            _elem89.read(iprot);
+            struct.uses.add(_elem89);
           }
         }
         struct.setUsesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map83 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
-          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map83.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key84;
-          double _val85;
-          for (int _i86 = 0; _i86 < _map83.size; ++_i86)
+          org.apache.thrift.protocol.TMap _map91 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
+          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map91.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key92;
+          double _val93;
+          for (int _i94 = 0; _i94 < _map91.size; ++_i94)
           {
-            _key84 = iprot.readString();
-            _val85 = iprot.readDouble();
-            struct.spent.put(_key84, _val85);
+            _key92 = iprot.readString();
+            _val93 = iprot.readDouble();
+            struct.spent.put(_key92, _val93);
           }
         }
         struct.setSpentIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list87 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list87.size);
-          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem88;
-          for (int _i89 = 0; _i89 < _list87.size; ++_i89)
+          org.apache.thrift.protocol.TList _list95 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list95.size);
+          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem96;
+          for (int _i97 = 0; _i97 < _list95.size; ++_i97)
           {
-            _elem88 = new WirePromptEvidence();
-            _elem88.read(iprot);
-            struct.prompts.add(_elem88);
+            _elem96 = new WirePromptEvidence();
+            _elem96.read(iprot);
+            struct.prompts.add(_elem96);
           }
         }
         struct.setPromptsIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WireStoreUpdate.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireStoreUpdate.java
@@ -672,14 +672,14 @@
           case 5: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list82 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<WireStoreChange>(_list82.size);
-                @org.apache.thrift.annotation.Nullable WireStoreChange _elem83;
-                for (int _i84 = 0; _i84 < _list82.size; ++_i84)
+                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<WireStoreChange>(_list106.size);
+                @org.apache.thrift.annotation.Nullable WireStoreChange _elem107;
+                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
                 {
-                  _elem83 = new WireStoreChange();
-                  _elem83.read(iprot);
-                  struct.changes.add(_elem83);
+                  _elem107 = new WireStoreChange();
+                  _elem107.read(iprot);
+                  struct.changes.add(_elem107);
                 }
                 iprot.readListEnd();
               }
@@ -720,9 +720,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (WireStoreChange _iter85 : struct.changes)
+          for (WireStoreChange _iter109 : struct.changes)
           {
-            _iter85.write(oprot);
+            _iter109.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -778,9 +778,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (WireStoreChange _iter86 : struct.changes)
+          for (WireStoreChange _iter110 : struct.changes)
           {
-            _iter86.write(oprot);
+            _iter110.write(oprot);
           }
         }
       }
@@ -808,14 +808,14 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list87 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<WireStoreChange>(_list87.size);
-          @org.apache.thrift.annotation.Nullable WireStoreChange _elem88;
-          for (int _i89 = 0; _i89 < _list87.size; ++_i89)
+          org.apache.thrift.protocol.TList _list111 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<WireStoreChange>(_list111.size);
+          @org.apache.thrift.annotation.Nullable WireStoreChange _elem112;
+          for (int _i113 = 0; _i113 < _list111.size; ++_i113)
           {
-            _elem88 = new WireStoreChange();
-            _elem88.read(iprot);
-            struct.changes.add(_elem88);
+            _elem112 = new WireStoreChange();
+            _elem112.read(iprot);
+            struct.changes.add(_elem112);
           }
         }
         struct.setChangesIsSet(true);
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -139,6 +139,7 @@
   2: i64 startedAtMilliseconds
   3: i64 ageMilliseconds
   4: optional bool begun
+  5: optional list<string> calls
 }
 
 struct WirePromptEvidence {
--- a/src/test/java/org/lacewingstep/controller/PromptControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/PromptControllerTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
@@ -337,7 +338,7 @@
     }
 
     private static PromptEvidence.CrashReport crash(final String upstream, final Duration age) {
-        return new PromptEvidence.CrashReport(new UpstreamStart(new UpstreamName(upstream), 1), age, false);
+        return new PromptEvidence.CrashReport(new UpstreamStart(new UpstreamName(upstream), 1), age, false, Set.of());
     }
 
     private static PromptEvidence evidence(final PromptEvidence.CrashReport... crashes) {
--- a/src/test/java/org/lacewingstep/controller/PromptQuarantineTest.java
+++ b/src/test/java/org/lacewingstep/controller/PromptQuarantineTest.java
@@ -25,6 +25,7 @@
 
     private static final int CRASHES_ALLOWED = 5;
     private static final int SENDS_ALLOWED = 3;
+    private static final int TICKS_BETWEEN_CLUMPS = 600;
     private static final PromptPart SHARED = PromptTraffic.SHARED;
     private static final PromptPart HARMFUL = PromptTraffic.HARMFUL;
 
@@ -62,6 +63,30 @@
         assertThat(traffic.isQuarantinedSomewhere(SHARED)).isFalse();
     }
 
+    /** Calls with a harmful part that arrive together crash many upstreams at one moment, as a rack that fails does. */
+    @ParameterizedTest
+    @CsvSource({"6,3", "6,4", "6,5", "6,8", "24,4", "24,5", "24,8"})
+    void harmfulCallsThatArriveTogetherStopReachingUpstreams(final int instances, final int clump) {
+        final PromptTraffic traffic = new PromptTraffic(instances, clump);
+        traffic.run(Duration.ofSeconds(2), () -> {});
+        final AtomicInteger ticks = new AtomicInteger();
+        final Runnable soundCalls = soundCalls(traffic, instances);
+        traffic.run(Duration.ofSeconds(40), () -> {
+            soundCalls.run();
+            final int tick = ticks.getAndIncrement();
+            for (int i = 0; tick % TICKS_BETWEEN_CLUMPS == 0 && i < clump; i++) {
+                traffic.callOnce((tick + 7 * i) % instances, SHARED, HARMFUL, new PromptPart("de" + tick + "0" + i));
+            }
+        });
+
+        assertThat(traffic.harmfulSendsAfter(boundAfterTheLastAllowedCrash(traffic)))
+                .as(
+                        "sends after the fifth of %s crashes",
+                        traffic.harmfulCrashes().size())
+                .isLessThanOrEqualTo(SENDS_ALLOWED);
+        assertThat(traffic.isQuarantinedSomewhere(SHARED)).isFalse();
+    }
+
     @ParameterizedTest
     @CsvSource({"6,100", "6,400", "24,400"})
     void soundCallsWithTheSameFirstPartBeginAtTheFirstAttempt(final int instances, final int interval) {
@@ -81,14 +106,24 @@
         return crashes.get(Math.min(CRASHES_ALLOWED, crashes.size()) - 1).plus(CONTACT_TIME);
     }
 
-    /** Sends a sound call every 100 ms and a harmful one at an interval, each with a part of its own. */
-    private static Runnable mixedCalls(final PromptTraffic traffic, final int instances, final int interval) {
+    /** Sends a sound call every 100 ms, each with a part of its own. */
+    private static Runnable soundCalls(final PromptTraffic traffic, final int instances) {
         final AtomicInteger ticks = new AtomicInteger();
         return () -> {
             final int tick = ticks.getAndIncrement();
             if (tick % 10 == 0) {
                 traffic.call(tick * 7 / 10 % instances, SHARED, new PromptPart("50" + tick));
             }
+        };
+    }
+
+    /** Sends a sound call every 100 ms and a harmful one at an interval, each with a part of its own. */
+    private static Runnable mixedCalls(final PromptTraffic traffic, final int instances, final int interval) {
+        final AtomicInteger ticks = new AtomicInteger();
+        final Runnable soundCalls = soundCalls(traffic, instances);
+        return () -> {
+            soundCalls.run();
+            final int tick = ticks.getAndIncrement();
             if (tick * 10 % interval == 0) {
                 traffic.call(tick * 10 / interval % instances, SHARED, HARMFUL, new PromptPart("de" + tick));
             }
--- a/src/test/java/org/lacewingstep/controller/PromptTraffic.java
+++ b/src/test/java/org/lacewingstep/controller/PromptTraffic.java
@@ -95,9 +95,19 @@
                 "ledger-" + starts, SiteFixture.LEDGER, UpstreamRole.PLAIN, SiteFixture.LOCAL_DOMAIN);
     }
 
+    /** Sends a call that may run again. */
     SentCall call(final int instance, final PromptPart... parts) {
+        return call("/read/x", instance, parts);
+    }
+
+    /** Sends a call that may run once. */
+    SentCall callOnce(final int instance, final PromptPart... parts) {
+        return call("/post/x", instance, parts);
+    }
+
+    private SentCall call(final String path, final int instance, final PromptPart... parts) {
         final SiteFixture site = fleet.sites().get(instance);
-        final SentCall call = new SentCall(site, site.call("/read/x", 1, List.of(parts)), List.of(parts), fleet.now());
+        final SentCall call = new SentCall(site, site.call(path, 1, List.of(parts)), List.of(parts), fleet.now());
         calls.add(call);
         handleInstructions(call);
         return call;
--- a/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
+++ b/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
@@ -109,7 +109,10 @@
 
     private static Map<PromptPart, PromptEvidence> samplePrompts() {
         final PromptEvidence.CrashReport crash = new PromptEvidence.CrashReport(
-                new UpstreamStart(new UpstreamName("p"), 17), Duration.ofMillis(350), true);
+                new UpstreamStart(new UpstreamName("p"), 17),
+                Duration.ofMillis(350),
+                true,
+                Set.of(new RequestIdentifier("r")));
         return Map.of(
                 new PromptPart("5c1e07a2"),
                 new PromptEvidence(1, List.of(crash), Optional.empty()),
