Consider all parts of a prompt that the head of a request holds

Cause: the decoder kept the first sixteen shared parts, and none of a header above 4,096 characters.

Why it works: nothing that an upstream receives is left out of the comparison; the size of the head bounds it, and a crash suspects the 256 parts of a prompt that were not served for longest.

--- a/src/main/java/org/lacewingstep/controller/PromptController.java
+++ b/src/main/java/org/lacewingstep/controller/PromptController.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallParameters;
@@ -45,6 +46,9 @@
     /** Most suspected parts; those with the fewest crashes are dropped. */
     private static final int MAX_SUSPICIONS = 512;
 
+    /** Most parts of one prompt that a crash makes suspects, so that a long prompt does not displace all others. */
+    private static final int MAX_SUSPECTS_OF_A_CRASH = MAX_SUSPICIONS / 2;
+
     /** Most crashes that are kept of one part. */
     private static final int MAX_CRASHES = 32;
 
@@ -157,12 +161,24 @@
                 Set.of(call.parameters().request()));
         final OutcomeBuilder builder = new OutcomeBuilder();
         PromptSection next = board.serving().prompts();
-        for (int i = 0; i < parts.size(); i++) {
-            next = withReportDue(addCrash(next, parts.get(i), i, crash), parts.get(i), builder);
+        for (final int position : suspectPositions(next, parts)) {
+            final PromptPart part = parts.get(position);
+            next = withReportDue(addCrash(next, part, position, crash), part, builder);
         }
         return decide(board, next, builder, now);
     }
 
+    /** Selects the parts of a prompt to suspect: those not served for longest, then the ones at later positions. */
+    private static List<Integer> suspectPositions(final PromptSection section, final List<PromptPart> parts) {
+        return IntStream.range(0, parts.size())
+                .boxed()
+                .sorted(Comparator.<Integer, Instant>comparing(position ->
+                                section.lastResponse(parts.get(position)).anywhere())
+                        .thenComparing(Comparator.reverseOrder()))
+                .limit(MAX_SUSPECTS_OF_A_CRASH)
+                .toList();
+    }
+
     /** Marks a part for the next report and requests that report. */
     private static PromptSection withReportDue(
             final PromptSection section, final PromptPart part, final OutcomeBuilder builder) {
--- a/src/main/java/org/lacewingstep/controller/PromptQuarantine.java
+++ b/src/main/java/org/lacewingstep/controller/PromptQuarantine.java
@@ -200,8 +200,8 @@
     }
 
     /**
-     * Finds the parts to put on trial: those on which many attempts broke off with crashes, though perhaps at one moment
-     * or after the first events of the responses, as it also happens when upstreams crash for another reason.
+     * Finds the parts to put on trial: those on which many attempts broke off with crashes, though perhaps at one
+     * moment or after the first events of the responses, as also happens when upstreams crash for another reason.
      */
     private static Set<PromptPart> findTrials(
             final Blackboard board, final PromptSection section, final Set<PromptPart> quarantined, final Instant now) {
--- a/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
@@ -88,11 +88,6 @@
     private static final Duration DEFAULT_WAIT_LIMIT = Duration.ofHours(1);
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final int MAX_PROMPT_PREFIX_LENGTH = 4096;
-
-    /** Most parts of one prompt that decisions consider. */
-    private static final int MAX_PROMPT_PARTS = 16;
-
     private static final Pattern PROMPT_PREFIX_ENTRY = Pattern.compile("\\s*([0-9A-Fa-f]{1,64}):\\d{1,9}\\s*");
     private static final int HTTP_MISDIRECTED_REQUEST = 421;
     private static final double MILLISECONDS_PER_SECOND = 1000;
@@ -288,9 +283,12 @@
         return Optional.of(new TokenDemand(Long.parseLong(parts[0].trim()), Long.parseLong(parts[1].trim())));
     }
 
-    /** Parses the parts of the prompt without the last one, which belongs to the request or its session alone. */
+    /**
+     * Parses the parts of the prompt without the last one, which belongs to the request or its session alone. Their
+     * number is bounded by the size of the request's head only, as any of them may crash upstreams.
+     */
     private static List<PromptPart> sharedPromptParts(final String header) {
-        if (header == null || header.length() > MAX_PROMPT_PREFIX_LENGTH) {
+        if (header == null) {
             return List.of();
         }
         final List<PromptPart> parts = new ArrayList<>();
@@ -301,10 +299,7 @@
             }
             parts.add(new PromptPart(matcher.group(1).toLowerCase(Locale.ROOT)));
         }
-        return parts.subList(0, parts.size() - 1).stream()
-                .distinct()
-                .limit(MAX_PROMPT_PARTS)
-                .toList();
+        return parts.subList(0, parts.size() - 1).stream().distinct().toList();
     }
 
     private static Duration waitLimit(final String header) {
--- a/src/test/java/org/lacewingstep/command/HarmfulPromptTest.java
+++ b/src/test/java/org/lacewingstep/command/HarmfulPromptTest.java
@@ -1,11 +1,15 @@
 package org.lacewingstep.command;
 
 import java.nio.file.Path;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingstep.command.RawUpstream.Exchange;
 import org.lacewingstep.command.RawUpstream.Reply;
 
@@ -52,6 +56,18 @@
         assertHarmfulPartIsRefused("5c1e07a2:200,");
     }
 
+    /** The prompt may have many parts, and any but the last one may be harmful. */
+    @ParameterizedTest
+    @ValueSource(ints = {17, 600})
+    void partBehindManyOthersIsRefused(final int others) throws Exception {
+        site.respondFromPairWith(exchange -> isHarmful(exchange)
+                ? Reply.reset("", "")
+                : Reply.keepOpen(chunked(sealed(exchange.identifier()), EVENT)));
+
+        assertHarmfulPartIsRefused(
+                IntStream.range(0, others).mapToObj(i -> "5c1e" + i + ":100,").collect(Collectors.joining()));
+    }
+
     /** Sends calls with the part for a while and allows those up to the fifth crash and three more. */
     private void assertHarmfulPartIsRefused(final String sharedParts) throws Exception {
         for (int i = 0; i < HARMFUL_CALLS; i++) {
--- a/src/test/java/org/lacewingstep/controller/PromptQuarantineTest.java
+++ b/src/test/java/org/lacewingstep/controller/PromptQuarantineTest.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -25,6 +26,7 @@
 
     private static final int CRASHES_ALLOWED = 5;
     private static final int SENDS_ALLOWED = 3;
+    private static final int MANY_PARTS = 200;
     private static final int TICKS_BETWEEN_CLUMPS = 600;
     private static final PromptPart SHARED = PromptTraffic.SHARED;
     private static final PromptPart HARMFUL = PromptTraffic.HARMFUL;
@@ -63,6 +65,30 @@
         assertThat(traffic.isQuarantinedSomewhere(SHARED)).isFalse();
     }
 
+    /** A crash suspects all parts of a prompt, more than fit into one report to the other instances. */
+    @ParameterizedTest
+    @CsvSource({"6,400", "6,1500", "24,400"})
+    void harmfulPartAmongManyOthersStopsReachingUpstreams(final int instances, final int interval) {
+        final PromptTraffic traffic = new PromptTraffic(instances, interval);
+        traffic.run(Duration.ofSeconds(2), () -> {});
+        final AtomicInteger ticks = new AtomicInteger();
+        traffic.run(Duration.ofSeconds(20), () -> {
+            final int tick = ticks.getAndIncrement();
+            if (tick * 10 % interval == 0) {
+                final PromptPart[] parts = IntStream.range(0, MANY_PARTS)
+                        .mapToObj(i -> i == MANY_PARTS / 2 ? HARMFUL : new PromptPart(tick + "0" + i))
+                        .toArray(PromptPart[]::new);
+                traffic.call(tick * 10 / interval % instances, parts);
+            }
+        });
+
+        assertThat(traffic.harmfulSendsAfter(boundAfterTheLastAllowedCrash(traffic)))
+                .as(
+                        "sends after the fifth of %s crashes",
+                        traffic.harmfulCrashes().size())
+                .isLessThanOrEqualTo(SENDS_ALLOWED);
+    }
+
     /** Calls with a harmful part that arrive together crash many upstreams at one moment, as a rack that fails does. */
     @ParameterizedTest
     @CsvSource({"6,3", "6,4", "6,5", "6,8", "24,4", "24,5", "24,8"})
