Answer the calls that are open when a planned stop ends

Callers: a call that outlasted the grace period of a planned stop ended with its connection and no answer (LOST, reported by other operators); they could not tell a call that never ran from one that may have run.

Cause: the process exits at the end of the grace period whatever is open, and nobody ended the open calls.

Why it works: when the process leaves, each open call is refused as not run, or fails as one that may have run, before the connections close.

--- a/src/main/java/org/lacewingstep/command/PlatformProcess.java
+++ b/src/main/java/org/lacewingstep/command/PlatformProcess.java
@@ -89,6 +89,11 @@
                 new ControlThread(Blackboard.initial(new Identity(self, Policy.DEFAULT)), clock, this::handle, metrics);
     }
 
+    /** Asks the control thread to finish the requests and to allow the process to exit. */
+    void requestStop() {
+        control.post(new Event.ShutdownRequested());
+    }
+
     /** Waits until the control thread allows the process to exit. */
     void awaitExitAllowed() throws InterruptedException {
         exitAllowed.await();
@@ -152,7 +157,7 @@
 
     private void shutDown() {
         LOGGER.atInfo().addKeyValue("step", "stop").log("stopping");
-        control.post(new Event.ShutdownRequested());
+        requestStop();
         try {
             exitAllowed.await();
             if (!closed.await(SHUTDOWN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)) {
--- a/src/main/java/org/lacewingstep/controller/CallCompletion.java
+++ b/src/main/java/org/lacewingstep/controller/CallCompletion.java
@@ -88,6 +88,23 @@
         return instruct(board, call, instruction, builder, result, Optional.empty());
     }
 
+    /**
+     * Fails or refuses a call that is open when the process stops.
+     *
+     * @param board the blackboard, not null
+     * @param call the call, not null
+     * @return the updated section with the resulting effects and events, never null
+     */
+    static Outcome<CallSection> endAtShutdown(final Blackboard board, final Call call) {
+        final OutcomeBuilder builder = new OutcomeBuilder();
+        releaseUpstreams(call, Optional.empty(), builder);
+        final CallInstruction instruction = isSent(call) || call.mayHaveRun()
+                ? new CallInstruction.Fail(ErrorCode.UPSTREAM_FAILED, "the instance stops before the answer")
+                : new CallInstruction.Refuse(Refusal.of(ErrorCode.INSTANCE_DRAINING, "the instance is stopping"));
+        return instruct(
+                board, call, instruction, builder, new CallResult.NotRun(false), Optional.of("instance stopping"));
+    }
+
     /**
      * Posts an event for each upstream that the call occupies, so that the load section stops counting the call there.
      *
--- a/src/main/java/org/lacewingstep/controller/CallController.java
+++ b/src/main/java/org/lacewingstep/controller/CallController.java
@@ -17,6 +17,7 @@
 import org.lacewingstep.blackboard.Decision.Input;
 import org.lacewingstep.blackboard.Effect;
 import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.LifecycleSection.Stage;
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.TimerKey;
 import org.lacewingstep.domain.AttemptIdentifier;
@@ -62,6 +63,8 @@
                 find(board, request)
                         .map(call -> CallCompletion.expire(board, call, now))
                         .orElseGet(() -> unchanged(board));
+            case Event.TimerFired(TimerKey.LifecycleCheck())
+            when board.lifecycle().stage() instanceof Stage.Leaving -> endAll(board);
             case Event.TimerFired(TimerKey.CallQueue(ServiceName service)) -> serveQueue(board, service, now);
             case Event.UpstreamReleased(UpstreamName name, long tokens, var result) ->
                 UpstreamChoice.findRegistered(board, name)
@@ -72,6 +75,20 @@
         };
     }
 
+    /** Fails or refuses all open calls, whose connections would otherwise end with the process without a response. */
+    private static Outcome<CallSection> endAll(final Blackboard board) {
+        final List<Effect> effects = new ArrayList<>();
+        final List<Event> events = new ArrayList<>();
+        CallSection section = board.serving().calls();
+        for (final Call call : section.calls().values()) {
+            final Outcome<CallSection> ended = CallCompletion.endAtShutdown(board, call);
+            section = without(section, call);
+            effects.addAll(ended.effects());
+            events.addAll(ended.events());
+        }
+        return new Outcome<>(section, effects, events);
+    }
+
     private static Outcome<CallSection> handleArrival(
             final Blackboard board, final CallParameters parameters, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
--- a/src/test/java/org/lacewingstep/command/PlatformTestSite.java
+++ b/src/test/java/org/lacewingstep/command/PlatformTestSite.java
@@ -177,6 +177,30 @@
         }
     }
 
+    /** Opens a connection as a caller. */
+    Socket connect() throws IOException {
+        return new Socket(InetAddress.getLoopbackAddress(), callerPort);
+    }
+
+    /** Encodes a call with an identifier of its own. */
+    byte[] request(final String route, final Duration deadline) {
+        return ("POST /" + route + "/x HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: " + nextIdentifier()
+                        + "\r\nToken-Count: 10,10\r\nDeadline-Ms: " + deadline.toMillis()
+                        + "\r\nContent-Length: 0\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
+    }
+
+    /** Asks the process to stop, as a SIGTERM does. */
+    void requestStop() {
+        process.requestStop();
+    }
+
+    /** Waits until the process may exit and closes it. */
+    void awaitStop() throws Exception {
+        process.awaitExitAllowed();
+        process.close();
+    }
+
     private String nextIdentifier() {
         return "caller-" + calls.incrementAndGet();
     }
