--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 
 import org.lacewingstep.domain.AttemptIdentifier;
+import org.lacewingstep.domain.ClaimOutcome;
 import org.lacewingstep.domain.Configuration;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.LoadReport;
@@ -184,13 +185,6 @@
      */
     record ClaimCompleted(RequestIdentifier request, ClaimOutcome outcome) implements Event {}
 
-    /** The result of a claim of an idempotency key in the store. */
-    enum ClaimOutcome {
-        GRANTED,
-        HELD_BY_ANOTHER,
-        UNKNOWN
-    }
-
     /**
      * The configuration in force has changed.
      *
@@ -356,6 +350,9 @@
      */
     record ReservationCompleted(RequestIdentifier request, UpstreamName upstream, CallResult result) implements Event {}
 
+    /** An upstream has announced in a response that it leaves or wants a pause. */
+    record UpstreamNoticeReceived(UpstreamNotice notice) implements Event {}
+
     /**
      * An upstream has sent nothing for longer than usual; the attempt continues.
      *
--- a/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
+++ b/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
@@ -15,6 +15,7 @@
 import org.lacewingstep.domain.Roster;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
+import org.lacewingstep.domain.UpstreamStart;
 import org.lacewingstep.domain.UpstreamUse;
 
 /** A message from one instance to another. */
@@ -218,21 +219,26 @@
     }
 
     /**
-     * Reports the sender's use of each upstream, what teams have spent at the sender and which parts of prompts may
-     * crash upstreams.
+     * Reports the sender's use of each upstream, what teams have spent at the sender, which parts of prompts may crash
+     * upstreams and which upstreams leave.
      *
      * @param uses the sender's running requests at each upstream, not null
      * @param spent units that each team with recent spending has spent at the sender since the sender started, not null
      * @param prompts the evidence on parts of prompts that are suspected of crashing upstreams, not null
+     * @param leaving the starts of upstreams that have announced that they leave, not null
      */
     record SiteLoad(
-            Map<UpstreamName, UpstreamUse> uses, Map<TeamName, Double> spent, Map<PromptPart, PromptEvidence> prompts)
+            Map<UpstreamName, UpstreamUse> uses,
+            Map<TeamName, Double> spent,
+            Map<PromptPart, PromptEvidence> prompts,
+            Set<UpstreamStart> leaving)
             implements PeerMessage {
-        /** Copies the maps. */
+        /** Copies the collections. */
         public SiteLoad {
             uses = Map.copyOf(uses);
             spent = Map.copyOf(spent);
             prompts = Map.copyOf(prompts);
+            leaving = Set.copyOf(leaving);
         }
     }
 }
--- a/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
@@ -18,6 +18,7 @@
  * @param roles the planned roles of engines and how full the engines are, not null
  * @param relay what this instance passes on between the store and other instances, not null
  * @param prompts the parts of prompts that are suspected of crashing upstreams, not null
+ * @param notices what upstreams have announced in their responses, not null
  */
 public record ServingBoard(
         SiteSection site,
@@ -28,7 +29,8 @@
         CallSection calls,
         RoleSection roles,
         RelaySection relay,
-        PromptSection prompts) {
+        PromptSection prompts,
+        UpstreamNoticeSection notices) {
     /** The initial sections of a process. */
     public static final ServingBoard INITIAL = new ServingBoard(
             SiteSection.INITIAL,
@@ -39,7 +41,8 @@
             CallSection.INITIAL,
             RoleSection.INITIAL,
             RelaySection.INITIAL,
-            PromptSection.INITIAL);
+            PromptSection.INITIAL,
+            UpstreamNoticeSection.INITIAL);
 
     /** Checks that every section is present. */
     public ServingBoard {
@@ -52,6 +55,7 @@
         Validate.notNull(roles, "roles");
         Validate.notNull(relay, "relay");
         Validate.notNull(prompts, "prompts");
+        Validate.notNull(notices, "notices");
     }
 
     /**
@@ -63,23 +67,25 @@
     public ServingBoard with(final ServingSection section) {
         return switch (section) {
             case SiteSection next ->
-                new ServingBoard(next, routing, registry, allowances, loads, calls, roles, relay, prompts);
+                new ServingBoard(next, routing, registry, allowances, loads, calls, roles, relay, prompts, notices);
             case RoutingSection next ->
-                new ServingBoard(site, next, registry, allowances, loads, calls, roles, relay, prompts);
+                new ServingBoard(site, next, registry, allowances, loads, calls, roles, relay, prompts, notices);
             case RegistrySection next ->
-                new ServingBoard(site, routing, next, allowances, loads, calls, roles, relay, prompts);
+                new ServingBoard(site, routing, next, allowances, loads, calls, roles, relay, prompts, notices);
             case AllowanceSection next ->
-                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts);
+                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts, notices);
             case UpstreamLoadSection next ->
-                new ServingBoard(site, routing, registry, allowances, next, calls, roles, relay, prompts);
+                new ServingBoard(site, routing, registry, allowances, next, calls, roles, relay, prompts, notices);
             case RelaySection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, next, prompts);
+                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, next, prompts, notices);
             case RoleSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, next, relay, prompts);
+                new ServingBoard(site, routing, registry, allowances, loads, calls, next, relay, prompts, notices);
             case PromptSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, relay, next);
+                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, relay, next, notices);
+            case UpstreamNoticeSection next ->
+                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, relay, prompts, next);
             case CallSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, next, roles, relay, prompts);
+                new ServingBoard(site, routing, registry, allowances, loads, next, roles, relay, prompts, notices);
         };
     }
 
--- a/src/main/java/org/lacewingstep/blackboard/ServingSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingSection.java
@@ -10,4 +10,5 @@
                 RoleSection,
                 RoutingSection,
                 SiteSection,
-                UpstreamLoadSection {}
+                UpstreamLoadSection,
+                UpstreamNoticeSection {}
--- a/src/main/java/org/lacewingstep/command/PlatformProcess.java
+++ b/src/main/java/org/lacewingstep/command/PlatformProcess.java
@@ -16,6 +16,7 @@
 import org.lacewingstep.control.DecisionLog;
 import org.lacewingstep.control.MonotonicClock;
 import org.lacewingstep.control.PlatformEffectDispatcher;
+import org.lacewingstep.controller.UpstreamAvailability;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.PeerAddress;
@@ -124,11 +125,18 @@
                 clock::now,
                 control::post,
                 () -> !control.board().lifecycle().isReady(),
+                upstream -> UpstreamAvailability.acceptsRequests(control.board(), upstream, clock.now()),
                 new CallMetrics(metrics));
         metrics.gauge("calls.open", () -> openCalls::size);
         metrics.gauge(
                 "prompts.quarantined",
                 () -> () -> control.board().serving().prompts().quarantinedParts());
+        metrics.gauge(
+                "upstreams.leaving",
+                () -> () -> control.board().serving().notices().leavingUpstreams());
+        metrics.gauge(
+                "upstreams.paused",
+                () -> () -> control.board().serving().notices().pausedUpstreams(clock.now()));
         dispatcher = new PlatformEffectDispatcher(
                 openCalls,
                 new PlatformStoreAdapter(client, settings.storeAddress(), clock::now, control::post, execController),
--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -30,6 +30,7 @@
             new RegistryController(),
             new RelayController(),
             new UpstreamLoadController(),
+            new UpstreamNoticeController(),
             new AllowanceController(),
             new RoleController(),
             new PromptController(),
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -110,7 +110,7 @@
                 final boolean quarantined =
                         PromptQuarantine.find(board, call.parameters(), now).isPresent();
                 if (result instanceof CallResult.Served
-                        && upstream.isPresent()
+                        && isPlaceable(board, upstream, now)
                         && !quarantined
                         && CallAdmission.mayStillRun(board, call, now)) {
                     yield send(board, call, upstream.get(), builder, now);
@@ -122,7 +122,7 @@
             case CallPhase.Replacing(CallPhase.Sent stalled, UpstreamName name) -> {
                 final Optional<RegisteredUpstream> upstream = UpstreamChoice.findRegistered(board, name);
                 if (result instanceof CallResult.Served
-                        && upstream.isPresent()
+                        && isPlaceable(board, upstream, now)
                         && CallCompletion.retryObstacle(board, call, true, now).isEmpty()) {
                     yield AttemptReplacement.send(board, call, stalled, upstream.get(), builder, now);
                 }
@@ -134,6 +134,12 @@
         };
     }
 
+    private static boolean isPlaceable(
+            final Blackboard board, final Optional<RegisteredUpstream> upstream, final Instant now) {
+        return upstream.filter(found -> UpstreamAvailability.acceptsRequests(board, found, now))
+                .isPresent();
+    }
+
     /**
      * Returns whether too little time remains before the deadline for another attempt.
      *
@@ -224,6 +230,14 @@
         if (!(call.phase() instanceof CallPhase.Queued(Instant until)) || !now.isBefore(until)) {
             return refuse(board, call, builder, ErrorCode.NO_CAPACITY, "no upstream is free", now);
         }
+        final Optional<Duration> delay = UpstreamAvailability.refusalDelay(board, call, until, now);
+        if (delay.isPresent()) {
+            return refuse(
+                    board,
+                    call,
+                    builder,
+                    new Refusal(ErrorCode.NO_CAPACITY, "all upstreams leave or have asked for a pause", delay.get()));
+        }
         builder.add(new Effect.StartTimer(new TimerKey.CallQueue(call.service()), now.plus(QUEUE_POLL_INTERVAL)));
         return builder.outcome(CallController.with(board.serving().calls(), call));
     }
@@ -235,19 +249,24 @@
             final ErrorCode code,
             final String message,
             final Instant now) {
+        return refuse(board, call, builder, new Refusal(code, message, returnDelay(call, now)));
+    }
+
+    private static Outcome<CallSection> refuse(
+            final Blackboard board, final Call call, final OutcomeBuilder builder, final Refusal refusal) {
         builder.add(new Effect.Log(Decision.on(
                 "placement",
                 call.parameters().request(),
-                "refused " + code,
-                Input.of("reason", message),
+                "refused " + refusal.code(),
+                Input.of("reason", refusal.message()),
                 Input.of("service", call.service()),
                 Input.of("attempts", call.attempts()),
                 Input.of("upstreams", board.serving().registry().upstreams().size()))));
         builder.add(new Effect.InstructCall(
                 call.parameters().request(),
                 call.mayHaveRun()
-                        ? new CallInstruction.Fail(ErrorCode.UPSTREAM_FAILED, message)
-                        : new CallInstruction.Refuse(new Refusal(code, message, returnDelay(call, now)))));
+                        ? new CallInstruction.Fail(ErrorCode.UPSTREAM_FAILED, refusal.message())
+                        : new CallInstruction.Refuse(refusal)));
         return builder.outcome(CallController.without(board.serving().calls(), call));
     }
 
--- a/src/main/java/org/lacewingstep/controller/Controller.java
+++ b/src/main/java/org/lacewingstep/controller/Controller.java
@@ -29,7 +29,8 @@
                 TeamBudgetController,
                 TokenRequestController,
                 UpstreamController,
-                UpstreamLoadController {
+                UpstreamLoadController,
+                UpstreamNoticeController {
     /**
      * Gets the type of the section that only this controller writes.
      *
--- a/src/main/java/org/lacewingstep/controller/IdempotencyClaims.java
+++ b/src/main/java/org/lacewingstep/controller/IdempotencyClaims.java
@@ -4,12 +4,12 @@
 
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.Effect;
-import org.lacewingstep.blackboard.Event.ClaimOutcome;
 import org.lacewingstep.blackboard.Instruction;
 import org.lacewingstep.blackboard.Refusal;
 import org.lacewingstep.blackboard.RequestSection;
 import org.lacewingstep.blackboard.RequestSection.Phase;
 import org.lacewingstep.blackboard.RequestSection.RequestState;
+import org.lacewingstep.domain.ClaimOutcome;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Reservation;
 import org.lacewingstep.domain.Service;
--- a/src/main/java/org/lacewingstep/controller/RequestController.java
+++ b/src/main/java/org/lacewingstep/controller/RequestController.java
@@ -20,6 +20,7 @@
 import org.lacewingstep.blackboard.TimerKey;
 import org.lacewingstep.blackboard.TokenDebits;
 import org.lacewingstep.domain.AttemptIdentifier;
+import org.lacewingstep.domain.ClaimOutcome;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Reservation;
@@ -44,7 +45,7 @@
                 builder.outcome(receive(board, parameters, builder, now));
             case Event.TokensGranted(RequestIdentifier request, TokenDebits debits) ->
                 builder.outcome(applyDebits(board, request, debits, builder, now));
-            case Event.ClaimCompleted(RequestIdentifier request, Event.ClaimOutcome outcome) ->
+            case Event.ClaimCompleted(RequestIdentifier request, ClaimOutcome outcome) ->
                 builder.outcome(IdempotencyClaims.applyOutcome(board, request, outcome, builder));
             case Event.TokensRefused(RequestIdentifier request, Refusal refusal) ->
                 builder.outcome(refuse(board, request, refusal, builder));
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -122,7 +122,8 @@
         final PeerMessage message = new PeerMessage.SiteLoad(
                 uses,
                 AllowanceShare.recentSpending(board, now),
-                PromptReports.create(board.serving().prompts(), now));
+                PromptReports.create(board.serving().prompts(), now),
+                UpstreamAvailability.reportedLeaving(board, now));
         reportReceivers(board, now).forEach(member -> builder.add(new Effect.SendToPeer(member, message)));
         final Instant due = now.plus(SiteSection.BROADCAST_INTERVAL);
         builder.add(new Effect.StartTimer(new TimerKey.LoadBroadcast(), due));
--- a/src/main/java/org/lacewingstep/etcd/EtcdAdapter.java
+++ b/src/main/java/org/lacewingstep/etcd/EtcdAdapter.java
@@ -14,6 +14,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.domain.ClaimOutcome;
 import org.lacewingstep.domain.IdempotencyKey;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
@@ -99,23 +100,22 @@
                             .addKeyValue("request", request)
                             .addKeyValue("step", "claim")
                             .log("claiming the idempotency key failed: {}", failure.toString());
-                    events.accept(new Event.ClaimCompleted(request, Event.ClaimOutcome.UNKNOWN));
+                    events.accept(new Event.ClaimCompleted(request, ClaimOutcome.UNKNOWN));
                 })
                 .start(started -> store.compareAndPut(storeKey, 0, value)
-                        .flatMap(written -> written.isPresent()
-                                ? Promise.value(Event.ClaimOutcome.GRANTED)
-                                : readClaim(storeKey, value))
+                        .flatMap(written ->
+                                written.isPresent() ? Promise.value(ClaimOutcome.GRANTED) : readClaim(storeKey, value))
                         .flatMapError(failure -> readClaim(storeKey, value))
                         .then(outcome -> events.accept(new Event.ClaimCompleted(request, outcome))));
     }
 
-    private Promise<Event.ClaimOutcome> readClaim(final String storeKey, final byte[] value) {
+    private Promise<ClaimOutcome> readClaim(final String storeKey, final byte[] value) {
         return store.read(storeKey).map(found -> {
             if (found.isEmpty()) {
-                return Event.ClaimOutcome.UNKNOWN;
+                return ClaimOutcome.UNKNOWN;
             }
             final boolean ownClaim = Arrays.equals(found.get().value(), value);
-            return ownClaim ? Event.ClaimOutcome.GRANTED : Event.ClaimOutcome.HELD_BY_ANOTHER;
+            return ownClaim ? ClaimOutcome.GRANTED : ClaimOutcome.HELD_BY_ANOTHER;
         });
     }
 
--- a/src/main/java/org/lacewingstep/peer/RecordCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RecordCodec.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,6 +36,7 @@
 import org.lacewingstep.peer.wire.WireReservation;
 import org.lacewingstep.peer.wire.WireRosterCopy;
 import org.lacewingstep.peer.wire.WireSiteLoad;
+import org.lacewingstep.peer.wire.WireUpstreamStart;
 import org.lacewingstep.peer.wire.WireUpstreamUse;
 
 /** Converts the records that several messages contain to and from their Thrift structs. */
@@ -139,6 +141,11 @@
                     .map(entry -> encodeEvidence(entry.getKey(), entry.getValue()))
                     .toList());
         }
+        if (!load.leaving().isEmpty()) {
+            wire.setLeaving(load.leaving().stream()
+                    .map(start -> new WireUpstreamStart(start.upstream().value(), start.startedAtMillis()))
+                    .toList());
+        }
         return wire;
     }
 
@@ -154,7 +161,13 @@
         if (wire.isSetPrompts()) {
             wire.getPrompts().forEach(part -> prompts.put(new PromptPart(part.getPart()), decodeEvidence(part)));
         }
-        return new PeerMessage.SiteLoad(uses, spent, prompts);
+        final Set<UpstreamStart> leaving = new HashSet<>();
+        if (wire.isSetLeaving()) {
+            wire.getLeaving()
+                    .forEach(start -> leaving.add(new UpstreamStart(
+                            new UpstreamName(start.getUpstream()), start.getStartedAtMilliseconds())));
+        }
+        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving);
     }
 
     private static WirePromptEvidence encodeEvidence(final PromptPart part, final PromptEvidence evidence) {
--- a/src/main/java/org/lacewingstep/peer/wire/WireLoadDigest.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireLoadDigest.java
@@ -336,14 +336,14 @@
           case 1: // REPORTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list114 = iprot.readListBegin();
-                struct.reports = new java.util.ArrayList<WireLoadReport>(_list114.size);
-                @org.apache.thrift.annotation.Nullable WireLoadReport _elem115;
-                for (int _i116 = 0; _i116 < _list114.size; ++_i116)
+                org.apache.thrift.protocol.TList _list122 = iprot.readListBegin();
+                struct.reports = new java.util.ArrayList<WireLoadReport>(_list122.size);
+                @org.apache.thrift.annotation.Nullable WireLoadReport _elem123;
+                for (int _i124 = 0; _i124 < _list122.size; ++_i124)
                 {
-                  _elem115 = new WireLoadReport();
-                  _elem115.read(iprot);
-                  struct.reports.add(_elem115);
+                  _elem123 = new WireLoadReport();
+                  _elem123.read(iprot);
+                  struct.reports.add(_elem123);
                 }
                 iprot.readListEnd();
               }
@@ -372,9 +372,9 @@
         oprot.writeFieldBegin(REPORTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-          for (WireLoadReport _iter117 : struct.reports)
+          for (WireLoadReport _iter125 : struct.reports)
           {
-            _iter117.write(oprot);
+            _iter125.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -406,9 +406,9 @@
       if (struct.isSetReports()) {
         {
           oprot.writeI32(struct.reports.size());
-          for (WireLoadReport _iter118 : struct.reports)
+          for (WireLoadReport _iter126 : struct.reports)
           {
-            _iter118.write(oprot);
+            _iter126.write(oprot);
           }
         }
       }
@@ -420,14 +420,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reports = new java.util.ArrayList<WireLoadReport>(_list119.size);
-          @org.apache.thrift.annotation.Nullable WireLoadReport _elem120;
-          for (int _i121 = 0; _i121 < _list119.size; ++_i121)
+          org.apache.thrift.protocol.TList _list127 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reports = new java.util.ArrayList<WireLoadReport>(_list127.size);
+          @org.apache.thrift.annotation.Nullable WireLoadReport _elem128;
+          for (int _i129 = 0; _i129 < _list127.size; ++_i129)
           {
-            _elem120 = new WireLoadReport();
-            _elem120.read(iprot);
-            struct.reports.add(_elem120);
+            _elem128 = new WireLoadReport();
+            _elem128.read(iprot);
+            struct.reports.add(_elem128);
           }
         }
         struct.setReportsIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WireRolePlan.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireRolePlan.java
@@ -505,14 +505,14 @@
           case 2: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list98 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<WireRoleChange>(_list98.size);
-                @org.apache.thrift.annotation.Nullable WireRoleChange _elem99;
-                for (int _i100 = 0; _i100 < _list98.size; ++_i100)
+                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<WireRoleChange>(_list106.size);
+                @org.apache.thrift.annotation.Nullable WireRoleChange _elem107;
+                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
                 {
-                  _elem99 = new WireRoleChange();
-                  _elem99.read(iprot);
-                  struct.changes.add(_elem99);
+                  _elem107 = new WireRoleChange();
+                  _elem107.read(iprot);
+                  struct.changes.add(_elem107);
                 }
                 iprot.readListEnd();
               }
@@ -554,9 +554,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (WireRoleChange _iter101 : struct.changes)
+          for (WireRoleChange _iter109 : struct.changes)
           {
-            _iter101.write(oprot);
+            _iter109.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -600,9 +600,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (WireRoleChange _iter102 : struct.changes)
+          for (WireRoleChange _iter110 : struct.changes)
           {
-            _iter102.write(oprot);
+            _iter110.write(oprot);
           }
         }
       }
@@ -621,14 +621,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list103 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<WireRoleChange>(_list103.size);
-          @org.apache.thrift.annotation.Nullable WireRoleChange _elem104;
-          for (int _i105 = 0; _i105 < _list103.size; ++_i105)
+          org.apache.thrift.protocol.TList _list111 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<WireRoleChange>(_list111.size);
+          @org.apache.thrift.annotation.Nullable WireRoleChange _elem112;
+          for (int _i113 = 0; _i113 < _list111.size; ++_i113)
           {
-            _elem104 = new WireRoleChange();
-            _elem104.read(iprot);
-            struct.changes.add(_elem104);
+            _elem112 = new WireRoleChange();
+            _elem112.read(iprot);
+            struct.changes.add(_elem112);
           }
         }
         struct.setChangesIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField USES_FIELD_DESC = new org.apache.thrift.protocol.TField("uses", org.apache.thrift.protocol.TType.LIST, (short)1);
   private static final org.apache.thrift.protocol.TField SPENT_FIELD_DESC = new org.apache.thrift.protocol.TField("spent", org.apache.thrift.protocol.TType.MAP, (short)2);
   private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)3);
+  private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireSiteLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireSiteLoadTupleSchemeFactory();
@@ -20,12 +21,14 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<WireUpstreamUse> uses; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Double> spent; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<WirePromptEvidence> prompts; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<WireUpstreamStart> leaving; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     USES((short)1, "uses"),
     SPENT((short)2, "spent"),
-    PROMPTS((short)3, "prompts");
+    PROMPTS((short)3, "prompts"),
+    LEAVING((short)4, "leaving");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +50,8 @@
           return SPENT;
         case 3: // PROMPTS
           return PROMPTS;
+        case 4: // LEAVING
+          return LEAVING;
         default:
           return null;
       }
@@ -90,7 +95,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.PROMPTS};
+  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -104,6 +109,9 @@
     tmpMap.put(_Fields.PROMPTS, new org.apache.thrift.meta_data.FieldMetaData("prompts", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WirePromptEvidence.class))));
+    tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireUpstreamStart.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireSiteLoad.class, metaDataMap);
   }
@@ -142,6 +150,13 @@
       }
       this.prompts = __this__prompts;
     }
+    if (other.isSetLeaving()) {
+      java.util.List<WireUpstreamStart> __this__leaving = new java.util.ArrayList<WireUpstreamStart>(other.leaving.size());
+      for (WireUpstreamStart other_element : other.leaving) {
+        __this__leaving.add(new WireUpstreamStart(other_element));
+      }
+      this.leaving = __this__leaving;
+    }
   }
 
   @Override
@@ -154,6 +169,7 @@
     this.uses = null;
     this.spent = null;
     this.prompts = null;
+    this.leaving = null;
   }
 
   public int getUsesSize() {
@@ -274,6 +290,47 @@
     }
   }
 
+  public int getLeavingSize() {
+    return (this.leaving == null) ? 0 : this.leaving.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WireUpstreamStart> getLeavingIterator() {
+    return (this.leaving == null) ? null : this.leaving.iterator();
+  }
+
+  public void addToLeaving(WireUpstreamStart elem) {
+    if (this.leaving == null) {
+      this.leaving = new java.util.ArrayList<WireUpstreamStart>();
+    }
+    this.leaving.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WireUpstreamStart> getLeaving() {
+    return this.leaving;
+  }
+
+  public WireSiteLoad setLeaving(@org.apache.thrift.annotation.Nullable java.util.List<WireUpstreamStart> leaving) {
+    this.leaving = leaving;
+    return this;
+  }
+
+  public void unsetLeaving() {
+    this.leaving = null;
+  }
+
+  /** Returns true if field leaving is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeaving() {
+    return this.leaving != null;
+  }
+
+  public void setLeavingIsSet(boolean value) {
+    if (!value) {
+      this.leaving = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -301,6 +358,14 @@
       }
       break;
 
+    case LEAVING:
+      if (value == null) {
+        unsetLeaving();
+      } else {
+        setLeaving((java.util.List<WireUpstreamStart>)value);
+      }
+      break;
+
     }
   }
 
@@ -317,6 +382,9 @@
     case PROMPTS:
       return getPrompts();
 
+    case LEAVING:
+      return getLeaving();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -335,6 +403,8 @@
       return isSetSpent();
     case PROMPTS:
       return isSetPrompts();
+    case LEAVING:
+      return isSetLeaving();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -379,6 +449,15 @@
         return false;
     }
 
+    boolean this_present_leaving = true && this.isSetLeaving();
+    boolean that_present_leaving = true && that.isSetLeaving();
+    if (this_present_leaving || that_present_leaving) {
+      if (!(this_present_leaving && that_present_leaving))
+        return false;
+      if (!this.leaving.equals(that.leaving))
+        return false;
+    }
+
     return true;
   }
 
@@ -398,6 +477,10 @@
     if (isSetPrompts())
       hashCode = hashCode * 8191 + prompts.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetLeaving()) ? 131071 : 524287);
+    if (isSetLeaving())
+      hashCode = hashCode * 8191 + leaving.hashCode();
+
     return hashCode;
   }
 
@@ -439,6 +522,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLeaving(), other.isSetLeaving());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeaving()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaving, other.leaving);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -488,6 +581,16 @@
       }
       first = false;
     }
+    if (isSetLeaving()) {
+      if (!first) sb.append(", ");
+      sb.append("leaving:");
+      if (this.leaving == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.leaving);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -591,6 +694,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // LEAVING
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list82 = iprot.readListBegin();
+                struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list82.size);
+                @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem83;
+                for (int _i84 = 0; _i84 < _list82.size; ++_i84)
+                {
+                  _elem83 = new WireUpstreamStart();
+                  _elem83.read(iprot);
+                  struct.leaving.add(_elem83);
+                }
+                iprot.readListEnd();
+              }
+              struct.setLeavingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -611,9 +733,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (WireUpstreamUse _iter82 : struct.uses)
+          for (WireUpstreamUse _iter85 : struct.uses)
           {
-            _iter82.write(oprot);
+            _iter85.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -623,10 +745,10 @@
         oprot.writeFieldBegin(SPENT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE, struct.spent.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter83 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter86 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter83.getKey());
-            oprot.writeDouble(_iter83.getValue());
+            oprot.writeString(_iter86.getKey());
+            oprot.writeDouble(_iter86.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -637,9 +759,23 @@
           oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-            for (WirePromptEvidence _iter84 : struct.prompts)
+            for (WirePromptEvidence _iter87 : struct.prompts)
+            {
+              _iter87.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.leaving != null) {
+        if (struct.isSetLeaving()) {
+          oprot.writeFieldBegin(LEAVING_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
+            for (WireUpstreamStart _iter88 : struct.leaving)
             {
-              _iter84.write(oprot);
+              _iter88.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -674,32 +810,44 @@
       if (struct.isSetPrompts()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetLeaving()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetUses()) {
         {
           oprot.writeI32(struct.uses.size());
-          for (WireUpstreamUse _iter85 : struct.uses)
+          for (WireUpstreamUse _iter89 : struct.uses)
           {
-            _iter85.write(oprot);
+            _iter89.write(oprot);
           }
         }
       }
       if (struct.isSetSpent()) {
         {
           oprot.writeI32(struct.spent.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter86 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter90 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter86.getKey());
-            oprot.writeDouble(_iter86.getValue());
+            oprot.writeString(_iter90.getKey());
+            oprot.writeDouble(_iter90.getValue());
           }
         }
       }
       if (struct.isSetPrompts()) {
         {
           oprot.writeI32(struct.prompts.size());
-          for (WirePromptEvidence _iter87 : struct.prompts)
+          for (WirePromptEvidence _iter91 : struct.prompts)
+          {
+            _iter91.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetLeaving()) {
+        {
+          oprot.writeI32(struct.leaving.size());
+          for (WireUpstreamStart _iter92 : struct.leaving)
           {
-            _iter87.write(oprot);
+            _iter92.write(oprot);
           }
         }
       }
@@ -708,50 +856,64 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireSiteLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list88 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list88.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem89;
-          for (int _i90 = 0; _i90 < _list88.size; ++_i90)
+          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list93.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem94;
+          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
           {
-            _elem89 = new WireUpstreamUse();
-            _elem89.read(iprot);
-            struct.uses.add(_elem89);
+            _elem94 = new WireUpstreamUse();
+            _elem94.read(iprot);
+            struct.uses.add(_elem94);
           }
         }
         struct.setUsesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map91 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
-          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map91.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key92;
-          double _val93;
-          for (int _i94 = 0; _i94 < _map91.size; ++_i94)
+          org.apache.thrift.protocol.TMap _map96 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
+          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map96.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key97;
+          double _val98;
+          for (int _i99 = 0; _i99 < _map96.size; ++_i99)
           {
-            _key92 = iprot.readString();
-            _val93 = iprot.readDouble();
-            struct.spent.put(_key92, _val93);
+            _key97 = iprot.readString();
+            _val98 = iprot.readDouble();
+            struct.spent.put(_key97, _val98);
           }
         }
         struct.setSpentIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list95 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list95.size);
-          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem96;
-          for (int _i97 = 0; _i97 < _list95.size; ++_i97)
+          org.apache.thrift.protocol.TList _list100 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list100.size);
+          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem101;
+          for (int _i102 = 0; _i102 < _list100.size; ++_i102)
           {
-            _elem96 = new WirePromptEvidence();
-            _elem96.read(iprot);
-            struct.prompts.add(_elem96);
+            _elem101 = new WirePromptEvidence();
+            _elem101.read(iprot);
+            struct.prompts.add(_elem101);
           }
         }
         struct.setPromptsIsSet(true);
       }
+      if (incoming.get(3)) {
+        {
+          org.apache.thrift.protocol.TList _list103 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list103.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem104;
+          for (int _i105 = 0; _i105 < _list103.size; ++_i105)
+          {
+            _elem104 = new WireUpstreamStart();
+            _elem104.read(iprot);
+            struct.leaving.add(_elem104);
+          }
+        }
+        struct.setLeavingIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/lacewingstep/peer/wire/WireStoreUpdate.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireStoreUpdate.java
@@ -672,14 +672,14 @@
           case 5: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<WireStoreChange>(_list106.size);
-                @org.apache.thrift.annotation.Nullable WireStoreChange _elem107;
-                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
+                org.apache.thrift.protocol.TList _list114 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<WireStoreChange>(_list114.size);
+                @org.apache.thrift.annotation.Nullable WireStoreChange _elem115;
+                for (int _i116 = 0; _i116 < _list114.size; ++_i116)
                 {
-                  _elem107 = new WireStoreChange();
-                  _elem107.read(iprot);
-                  struct.changes.add(_elem107);
+                  _elem115 = new WireStoreChange();
+                  _elem115.read(iprot);
+                  struct.changes.add(_elem115);
                 }
                 iprot.readListEnd();
               }
@@ -720,9 +720,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (WireStoreChange _iter109 : struct.changes)
+          for (WireStoreChange _iter117 : struct.changes)
           {
-            _iter109.write(oprot);
+            _iter117.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -778,9 +778,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (WireStoreChange _iter110 : struct.changes)
+          for (WireStoreChange _iter118 : struct.changes)
           {
-            _iter110.write(oprot);
+            _iter118.write(oprot);
           }
         }
       }
@@ -808,14 +808,14 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list111 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<WireStoreChange>(_list111.size);
-          @org.apache.thrift.annotation.Nullable WireStoreChange _elem112;
-          for (int _i113 = 0; _i113 < _list111.size; ++_i113)
+          org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<WireStoreChange>(_list119.size);
+          @org.apache.thrift.annotation.Nullable WireStoreChange _elem120;
+          for (int _i121 = 0; _i121 < _list119.size; ++_i121)
           {
-            _elem112 = new WireStoreChange();
-            _elem112.read(iprot);
-            struct.changes.add(_elem112);
+            _elem120 = new WireStoreChange();
+            _elem120.read(iprot);
+            struct.changes.add(_elem120);
           }
         }
         struct.setChangesIsSet(true);
--- a/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
@@ -25,9 +25,11 @@
 import org.lacewingstep.blackboard.CallInstruction.Reserve;
 import org.lacewingstep.blackboard.CallInstruction.Send;
 import org.lacewingstep.blackboard.CallParameters;
+import org.lacewingstep.blackboard.UpstreamNotice;
 import org.lacewingstep.domain.KeyDigest;
 import org.lacewingstep.domain.PeerAddress;
 import org.lacewingstep.domain.PromptPart;
+import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.TokenDemand;
 import org.lacewingstep.traffic.CallProtocol;
@@ -208,6 +210,12 @@
         return new ResponseKind.Genuine();
     }
 
+    @Override
+    public UpstreamNotice decodeNotice(
+            final RequestIdentifier request, final RegisteredUpstream upstream, final HttpResponse response) {
+        return NoticeHeaders.decode(request, upstream, response);
+    }
+
     @Override
     public HttpHeaders forwardedHeaders(final HttpResponse response) {
         return copyWithout(response.headers(), Set.of());
--- a/src/main/java/org/lacewingstep/traffic/CallProtocol.java
+++ b/src/main/java/org/lacewingstep/traffic/CallProtocol.java
@@ -10,7 +10,9 @@
 import org.lacewingstep.blackboard.CallInstruction.Reserve;
 import org.lacewingstep.blackboard.CallInstruction.Send;
 import org.lacewingstep.blackboard.CallParameters;
+import org.lacewingstep.blackboard.UpstreamNotice;
 import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
 
 /** Translates between the HTTP messages of callers and upstreams and the types that the control thread uses. */
@@ -164,6 +166,16 @@
      */
     ResponseKind classify(HttpResponse response);
 
+    /**
+     * Decodes what an upstream announces about itself in a response.
+     *
+     * @param request the request that the response belongs to, not null
+     * @param upstream the upstream that sent the response, not null
+     * @param response the status line and headers of the response, not null
+     * @return the notice, never null
+     */
+    UpstreamNotice decodeNotice(RequestIdentifier request, RegisteredUpstream upstream, HttpResponse response);
+
     /**
      * Encodes the headers under which an upstream's response is forwarded to the caller.
      *
--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -21,7 +21,6 @@
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Refusal;
 import org.lacewingstep.domain.AttemptIdentifier;
-import org.lacewingstep.domain.PeerAddress;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.error.ErrorCode;
@@ -164,10 +163,14 @@
     }
 
     private void sendPrefill(final Send instruction, final RegisteredUpstream upstream) {
+        if (!openCalls.acceptsRequests(upstream)) {
+            continueWithoutPrefill(instruction, new CallResult.NotRun(true));
+            return;
+        }
         exchange = pool.send(
                 requests.prefill(instruction, upstream.address()),
                 new ResponseCollector(
-                        response -> handlePrefillResponse(instruction, upstream.address(), response),
+                        response -> handlePrefillResponse(instruction, upstream, response),
                         failed -> {
                             recordFailure(upstream, failed);
                             continueWithoutPrefill(instruction, toResult(failed));
@@ -176,7 +179,8 @@
     }
 
     private void handlePrefillResponse(
-            final Send instruction, final PeerAddress prefillAddress, final CompleteResponse response) {
+            final Send instruction, final RegisteredUpstream upstream, final CompleteResponse response) {
+        openCalls.postNotice(request, upstream, response.head());
         final int status = response.head().status().code();
         if (status != HTTP_OK) {
             final boolean notRun = openCalls.protocol().classify(response.head()) instanceof ResponseKind.NotRun;
@@ -185,7 +189,7 @@
             return;
         }
         final Optional<KvCacheReference> kvCacheReference =
-                openCalls.protocol().decodePrefillResponse(prefillAddress, response.body());
+                openCalls.protocol().decodePrefillResponse(upstream.address(), response.body());
         prefillReference = kvCacheReference;
         openCalls.post(new Event.PrefillEnded(
                 request,
@@ -205,6 +209,10 @@
         firstEventAt = Optional.empty();
         responseBody = new ByteArrayOutputStream();
         relay.discardPartialEvent();
+        if (!openCalls.acceptsRequests(instruction.upstream())) {
+            postAttemptEnd(new CallResult.NotRun(false));
+            return;
+        }
         exchange = pool.send(
                 requests.response(instruction, kvCacheReference, reservation.handOver(), relay.lastIdentifier()),
                 event -> handleExchangeEvent(instruction, event));
@@ -238,6 +246,8 @@
         responseHead = response;
         if (openCalls.protocol().classify(response) instanceof ResponseKind.Unusable(String reason)) {
             breakAttempt(instruction, reason);
+        } else {
+            openCalls.postNotice(request, instruction.upstream(), response);
         }
     }
 
--- a/src/main/java/org/lacewingstep/traffic/EngineReservation.java
+++ b/src/main/java/org/lacewingstep/traffic/EngineReservation.java
@@ -64,6 +64,10 @@
     void reserve(final Reserve instruction) {
         release();
         currentInstruction = instruction;
+        if (!openCalls.acceptsRequests(instruction.upstream())) {
+            postResult(instruction, new CallResult.NotRun(true));
+            return;
+        }
         pendingExchange = pool.send(
                 exchangeRequest(instruction, openCalls.protocol().encodeReservation(instruction)),
                 new ResponseCollector(
@@ -99,6 +103,7 @@
 
     private void handleResponse(final Reserve instruction, final CompleteResponse response) {
         pendingExchange = null;
+        openCalls.postNotice(request, instruction.upstream(), response.head());
         final int status = response.head().status().code();
         if (status == HTTP_OK) {
             reservationIdentifier = openCalls.protocol().decodeReservation(response.body());
--- a/src/main/java/org/lacewingstep/traffic/OpenCalls.java
+++ b/src/main/java/org/lacewingstep/traffic/OpenCalls.java
@@ -7,11 +7,15 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpResponse;
 import org.lacewingstep.blackboard.CallInstruction;
 import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.UpstreamNotice;
+import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.upstream.UpstreamPool;
 import org.lacewingstep.upstream.UpstreamPools;
@@ -26,6 +30,7 @@
     private final CallProtocol protocol;
     private final BooleanSupplier closeConnections;
     private final Consumer<Event> events;
+    private final Predicate<RegisteredUpstream> acceptsRequests;
     private final CallMetrics metrics;
     private final UpstreamPools pools;
     private final ConcurrentMap<RequestIdentifier, CallSession> sessions = new ConcurrentHashMap<>();
@@ -38,6 +43,7 @@
      * @param clock supplies the current time, not null
      * @param events receives the events for the control thread, not null
      * @param closeConnections returns whether callers should reconnect to other instances, not null
+     * @param acceptsRequests returns whether an upstream may be sent a request now, not null
      * @param metrics the counters and latencies of calls, not null
      */
     public OpenCalls(
@@ -46,12 +52,14 @@
             final Supplier<Instant> clock,
             final Consumer<Event> events,
             final BooleanSupplier closeConnections,
+            final Predicate<RegisteredUpstream> acceptsRequests,
             final CallMetrics metrics) {
         this.protocol = protocol;
         this.pools = pools;
         this.clock = clock;
         this.events = events;
         this.closeConnections = closeConnections;
+        this.acceptsRequests = acceptsRequests;
         this.metrics = metrics;
     }
 
@@ -150,4 +158,28 @@
     void post(final Event event) {
         events.accept(event);
     }
+
+    /**
+     * Returns whether an upstream may be sent a request now; it may have announced otherwise since it was chosen.
+     *
+     * @param upstream the upstream, not null
+     * @return true if the request may be sent
+     */
+    boolean acceptsRequests(final RegisteredUpstream upstream) {
+        return acceptsRequests.test(upstream);
+    }
+
+    /**
+     * Posts what an upstream announces about itself in a response.
+     *
+     * @param request the request that the response belongs to, not null
+     * @param upstream the upstream that sent the response, not null
+     * @param response the status line and headers of the response, not null
+     */
+    void postNotice(final RequestIdentifier request, final RegisteredUpstream upstream, final HttpResponse response) {
+        final UpstreamNotice notice = protocol.decodeNotice(request, upstream, response);
+        if (notice.isPresent()) {
+            events.accept(new Event.UpstreamNoticeReceived(notice));
+        }
+    }
 }
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -134,6 +134,11 @@
   4: i32 arrivals
 }
 
+struct WireUpstreamStart {
+  1: string upstream
+  2: i64 startedAtMilliseconds
+}
+
 struct WirePromptCrash {
   1: string upstream
   2: i64 startedAtMilliseconds
@@ -153,6 +158,7 @@
   1: list<WireUpstreamUse> uses
   2: map<string, double> spent
   3: optional list<WirePromptEvidence> prompts
+  4: optional list<WireUpstreamStart> leaving
 }
 
 struct WireStoreQuery {
--- a/src/test/java/org/lacewingstep/command/PlatformTestSite.java
+++ b/src/test/java/org/lacewingstep/command/PlatformTestSite.java
@@ -138,6 +138,16 @@
         return decode;
     }
 
+    /** Returns both upstreams of a pair. */
+    List<RawUpstream> pair() {
+        return pair;
+    }
+
+    /** Stops the platform's store. */
+    void closeStore() throws Exception {
+        store.close();
+    }
+
     /** Sets the replies of both upstreams of a pair. */
     void respondFromPairWith(final Function<Exchange, Reply> responder) {
         pair.forEach(upstream -> upstream.respondWith(responder));
--- a/src/test/java/org/lacewingstep/controller/PromptControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/PromptControllerTest.java
@@ -355,7 +355,8 @@
 
     private static void receive(final SiteFixture receiver, final Map<PromptPart, PromptEvidence> evidence) {
         receiver.step(new Event.PeerMessageReceived(
-                SiteFixture.member("b").incarnation(), new PeerMessage.SiteLoad(Map.of(), Map.of(), evidence)));
+                SiteFixture.member("b").incarnation(),
+                new PeerMessage.SiteLoad(Map.of(), Map.of(), evidence, Set.of())));
     }
 
     private void broadcast() {
--- a/src/test/java/org/lacewingstep/controller/RelayControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/RelayControllerTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.lacewingstep.blackboard.Effect;
@@ -126,9 +127,10 @@
         receive(
                 FOLLOWER,
                 new PeerMessage.LoadDigest(Map.of(
-                        site.board().identity().incarnation(), new PeerMessage.SiteLoad(Map.of(), Map.of(), Map.of()),
+                        site.board().identity().incarnation(),
+                                new PeerMessage.SiteLoad(Map.of(), Map.of(), Map.of(), Set.of()),
                         SiteFixture.member("i9").incarnation(),
-                                new PeerMessage.SiteLoad(Map.of(), Map.of(), Map.of()))));
+                                new PeerMessage.SiteLoad(Map.of(), Map.of(), Map.of(), Set.of()))));
 
         assertThat(site.board().serving().loads().peers())
                 .containsOnlyKeys(SiteFixture.member("i9").name());
--- a/src/test/java/org/lacewingstep/controller/RoleControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/RoleControllerTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.lacewingstep.blackboard.CallResult;
@@ -169,7 +170,7 @@
             uses.put(new UpstreamName("decode-" + i), new UpstreamUse(tokens > 0 ? 3 : 0, tokens));
         }
         site.step(new Event.PeerMessageReceived(
-                reporter.incarnation(), new PeerMessage.SiteLoad(uses, Map.of(), Map.of())));
+                reporter.incarnation(), new PeerMessage.SiteLoad(uses, Map.of(), Map.of(), Set.of())));
     }
 
     private List<Effect.WriteRolePlan> plans() {
--- a/src/test/java/org/lacewingstep/controller/SharedLoadTest.java
+++ b/src/test/java/org/lacewingstep/controller/SharedLoadTest.java
@@ -183,7 +183,8 @@
     void unitsAreNotDebitedAgainAfterALeaseLapsesInAPartition() {
         configureTeamLimit(2);
         final Incarnation restarted = SiteFixture.member("b", 2).incarnation();
-        final PeerMessage report = new PeerMessage.SiteLoad(Map.of(), Map.of(SiteFixture.TEAM, 5000.0), Map.of());
+        final PeerMessage report =
+                new PeerMessage.SiteLoad(Map.of(), Map.of(SiteFixture.TEAM, 5000.0), Map.of(), Set.of());
         site.step(new Event.PeerMessageReceived(restarted, report));
         final double before = level();
 
@@ -202,7 +203,7 @@
 
         site.step(new Event.PeerMessageReceived(
                 SiteFixture.member("b", 2).incarnation(),
-                new PeerMessage.SiteLoad(Map.of(), Map.of(SiteFixture.TEAM, 700.0), Map.of())));
+                new PeerMessage.SiteLoad(Map.of(), Map.of(SiteFixture.TEAM, 700.0), Map.of(), Set.of())));
 
         assertThat(before - level()).isCloseTo(700, within(0.01));
     }
@@ -214,7 +215,7 @@
 
         site.step(new Event.PeerMessageReceived(
                 SiteFixture.member("b", 0).incarnation(),
-                new PeerMessage.SiteLoad(Map.of(), Map.of(SiteFixture.TEAM, 90_000.0), Map.of())));
+                new PeerMessage.SiteLoad(Map.of(), Map.of(SiteFixture.TEAM, 90_000.0), Map.of(), Set.of())));
 
         assertThat(before - level()).isCloseTo(0, within(0.01));
     }
@@ -374,6 +375,7 @@
     }
 
     private void receiveLoad(final Map<UpstreamName, UpstreamUse> uses, final Map<TeamName, Double> spent) {
-        site.step(new Event.PeerMessageReceived(OTHER.incarnation(), new PeerMessage.SiteLoad(uses, spent, Map.of())));
+        site.step(new Event.PeerMessageReceived(
+                OTHER.incarnation(), new PeerMessage.SiteLoad(uses, spent, Map.of(), Set.of())));
     }
 }
--- a/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
+++ b/src/test/java/org/lacewingstep/peer/PeerCodecTest.java
@@ -76,7 +76,7 @@
         final WireMessage load = WireMessage.siteLoad(new WireSiteLoad(List.of(), Map.of("t", 2.0)));
 
         assertThat(PeerCodec.decode(load))
-                .isEqualTo(new PeerMessage.SiteLoad(Map.of(), Map.of(new TeamName("t"), 2.0), Map.of()));
+                .isEqualTo(new PeerMessage.SiteLoad(Map.of(), Map.of(new TeamName("t"), 2.0), Map.of(), Set.of()));
     }
 
     @Test
@@ -128,13 +128,16 @@
                 new Configuration(3, Map.of(), Map.of(service.name(), service), Map.of(), Map.of(), Map.of());
         return List.of(
                 new PeerMessage.SiteLoad(
-                        Map.of(new UpstreamName("p"), new UpstreamUse(2, 300, 4)), Map.of(TEAM, 1.5), samplePrompts()),
+                        Map.of(new UpstreamName("p"), new UpstreamUse(2, 300, 4)),
+                        Map.of(TEAM, 1.5),
+                        samplePrompts(),
+                        Set.of(new UpstreamStart(new UpstreamName("p"), 17))),
                 new PeerMessage.Heartbeat(1, 2, 3, 4, 5, Optional.of(Duration.ofMillis(6))),
                 new PeerMessage.Heartbeat(1, 2, 3, 4, 5, Optional.empty()),
                 new PeerMessage.StoreQuery(8, 900),
                 new PeerMessage.StoreUpdate(8, 17, 910, true, sampleChanges(member)),
-                new PeerMessage.LoadDigest(
-                        Map.of(OWNER, new PeerMessage.SiteLoad(Map.of(), Map.of(TEAM, 2.5), samplePrompts()))),
+                new PeerMessage.LoadDigest(Map.of(
+                        OWNER, new PeerMessage.SiteLoad(Map.of(), Map.of(TEAM, 2.5), samplePrompts(), Set.of()))),
                 new PeerMessage.EpochAcknowledged(4, List.of(RESERVATION)),
                 new PeerMessage.TokenRequest(1, TEAM, 1, 500, true, Duration.ofMillis(20)),
                 new PeerMessage.TokenResponse(1, PeerMessage.TokenVerdict.REFUSED, 0, 0, Duration.ofMillis(9)),
--- a/src/test/java/org/lacewingstep/scenario/FakePlatform.java
+++ b/src/test/java/org/lacewingstep/scenario/FakePlatform.java
@@ -10,6 +10,7 @@
 import java.util.function.Supplier;
 
 import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.domain.ClaimOutcome;
 import org.lacewingstep.domain.Configuration;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
@@ -55,16 +56,13 @@
     void claim(final VirtualInstance caller, final RequestIdentifier request, final String name) {
         if (storeDown || isolatedInstances.contains(caller.name())) {
             fleet.time()
-                    .after(
-                            CALL_TIMEOUT,
-                            () -> caller.deliver(new Event.ClaimCompleted(request, Event.ClaimOutcome.UNKNOWN)));
+                    .after(CALL_TIMEOUT, () -> caller.deliver(new Event.ClaimCompleted(request, ClaimOutcome.UNKNOWN)));
             return;
         }
         fleet.time().after(CALL_DELAY, () -> {
             final boolean isHolder = request.equals(claims.computeIfAbsent(name, key -> request));
-            final Event.ClaimOutcome storedOutcome =
-                    isHolder ? Event.ClaimOutcome.GRANTED : Event.ClaimOutcome.HELD_BY_ANOTHER;
-            final Event.ClaimOutcome outcome = losesResponses ? Event.ClaimOutcome.UNKNOWN : storedOutcome;
+            final ClaimOutcome storedOutcome = isHolder ? ClaimOutcome.GRANTED : ClaimOutcome.HELD_BY_ANOTHER;
+            final ClaimOutcome outcome = losesResponses ? ClaimOutcome.UNKNOWN : storedOutcome;
             fleet.time()
                     .after(
                             losesResponses ? CALL_TIMEOUT : CALL_DELAY,
