Play upstreams that leave or name a time of return in the soak, and list a lost quarantine

The soak's upstreams say in every response that they leave, or refuse with 503 and Retry-After; its ledger checks what arrives from each instance 2 s after the first and in the time of the second.

Its logs show that no instance was alive to keep a quarantine; that is not mended.

--- a/src/standin/java/org/lacewingstep/soak/AdditionalFault.java
+++ b/src/standin/java/org/lacewingstep/soak/AdditionalFault.java
@@ -14,6 +14,8 @@
     ODD_ENTRY,
     /** A part of some prompts crashes every upstream that starts to respond. */
     CRASHING_PART,
+    /** Upstreams say in their responses that they leave, or refuse requests and name a time of return. */
+    NOTICE,
     /** Several configuration changes follow each other: routes are added and all keys of a team are withdrawn. */
     CONFIGURATION
 }
--- a/src/standin/java/org/lacewingstep/soak/SoakFaults.java
+++ b/src/standin/java/org/lacewingstep/soak/SoakFaults.java
@@ -119,6 +119,11 @@
                         additionalRandom.nextInt(faultyUpstreams.length),
                         new UpstreamFault.RepeatsRefusal(kind == AdditionalFault.REPEATED_REFUSAL),
                         additionalRandom);
+            case NOTICE ->
+                injectUpstreamFault(
+                        additionalRandom.nextInt(faultyUpstreams.length),
+                        additionalRandom.nextBoolean() ? new UpstreamFault.Leaves() : new UpstreamFault.NamesReturn(),
+                        additionalRandom);
             case BROKEN_STREAM -> {
                 for (int index = SoakSite.FIRST_DECODE_UPSTREAM; index < faultyUpstreams.length; index++) {
                     injectUpstreamFault(index, new UpstreamFault.BreaksStreams(), additionalRandom);
--- a/src/standin/java/org/lacewingstep/soak/SoakLedger.java
+++ b/src/standin/java/org/lacewingstep/soak/SoakLedger.java
@@ -23,6 +23,7 @@
 
     private final Map<String, Integer> actedFaults = new ConcurrentHashMap<>();
     private final CrashingPart crashingPart = new CrashingPart();
+    private final NoticeLedger notices = new NoticeLedger();
     private final SoakDisturbances disturbances = new SoakDisturbances();
     private final Set<String> refusedRequests = ConcurrentHashMap.newKeySet();
     private final Map<String, Queue<Integer>> runs = new ConcurrentHashMap<>();
@@ -127,6 +128,30 @@
         }
     }
 
+    /** Records that an upstream said to the instance of a request that it leaves. */
+    void recordLeaving(final String upstreamStart, final String requestId, final long now) {
+        final SentRequest request = sentRequests.get(requestId);
+        if (request != null) {
+            notices.recordLeaving(upstreamStart, request.instance(), now);
+        }
+    }
+
+    /** Records that an upstream refused a request and named a time of return. */
+    void recordPause(final String upstreamStart, final String requestId, final long now, final long milliseconds) {
+        final SentRequest request = sentRequests.get(requestId);
+        if (request != null) {
+            notices.recordPause(upstreamStart, request.instance(), now, milliseconds);
+        }
+    }
+
+    /** Records that a request reached an upstream, also if the upstream rejects it. */
+    void recordArrival(final String upstreamStart, final String requestId, final long now) {
+        final SentRequest request = sentRequests.get(requestId);
+        if (request != null) {
+            notices.recordArrival(upstreamStart, request.instance(), now, this);
+        }
+    }
+
     void recordCrash(final long now) {
         crashingPart.recordCrash(now);
     }
@@ -186,6 +211,7 @@
 
     @Override
     public String toString() {
-        return outcomes + " runs=" + runs.size() + " sound=" + soundRequests + " " + actedFaults + " " + crashingPart;
+        return outcomes + " runs=" + runs.size() + " sound=" + soundRequests + " " + actedFaults + " " + crashingPart
+                + " " + notices;
     }
 }
--- a/src/standin/java/org/lacewingstep/soak/SoakUpstream.java
+++ b/src/standin/java/org/lacewingstep/soak/SoakUpstream.java
@@ -30,6 +30,7 @@
     private final SocketServer server;
 
     private volatile boolean crashed;
+    private volatile int starts;
     private volatile UpstreamFault fault = new UpstreamFault.None();
     private volatile String identifier;
     private volatile Runnable onRestart = () -> {};
@@ -40,6 +41,9 @@
         private final OutputStream output;
         private final Socket socket;
 
+        /** Whether the next response says that the upstream leaves. */
+        private boolean leaving;
+
         /** The identifier of the request that was rejected last on this connection, or null. */
         private String rejectedRequest;
 
@@ -48,8 +52,16 @@
             this.socket = socket;
         }
 
+        void announceLeaving() {
+            leaving = true;
+        }
+
         void write(final String text) throws IOException {
-            output.write(text.getBytes(StandardCharsets.US_ASCII));
+            final String written = leaving && text.startsWith("HTTP/1.1")
+                    ? text.replaceFirst("\r\n", "\r\nServer-Leaving: 1\r\n")
+                    : text;
+            leaving = leaving && written.equals(text);
+            output.write(written.getBytes(StandardCharsets.US_ASCII));
             output.flush();
         }
     }
@@ -76,6 +88,9 @@
 
     /** Injects a fault, {@link UpstreamFault.None} to remove the current one. */
     void setFault(final UpstreamFault newFault) {
+        if (fault instanceof UpstreamFault.Leaves) {
+            restart();
+        }
         if (!newFault.isSound()) {
             ledger.disturbances().begin(SoakDisturbances.upstream(index), SoakClock.now());
         }
@@ -99,6 +114,17 @@
     void replaceIdentifier(final String newIdentifier) {
         ledger.disturbances().strike(SoakDisturbances.upstream(index), SoakClock.now());
         identifier = newIdentifier;
+        starts++;
+    }
+
+    /** Registers this upstream with a new start. */
+    private void restart() {
+        starts++;
+        onRestart.run();
+    }
+
+    private String startName() {
+        return index + "/" + starts;
     }
 
     /** Returns the response body for a request, which is the same at all upstreams. */
@@ -136,6 +162,7 @@
         if (CrashingPart.isIn(request.headers().getOrDefault("prompt-prefix", ""))) {
             ledger.recordCrashingArrival(requestId, SoakClock.now());
         }
+        ledger.recordArrival(startName(), requestId, SoakClock.now());
         if (!identifier.equals(request.headers().getOrDefault("expect-instance", identifier))) {
             connection.write(
                     "HTTP/1.1 421 Misdirected\r\n" + identifierHeader(requestId) + "Content-Length: 0\r\n\r\n");
@@ -156,6 +183,16 @@
             connection.write(rejection(identifierHeader(requestId)));
             return true;
         }
+        if (fault instanceof UpstreamFault.NamesReturn) {
+            ledger.recordPause(startName(), requestId, SoakClock.now(), UpstreamFault.NamesReturn.PAUSE_MILLISECONDS);
+            connection.write("HTTP/1.1 503 Full\r\n" + identifierHeader(requestId)
+                    + "Not-Executed: 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
+        if (fault instanceof UpstreamFault.Leaves) {
+            ledger.recordLeaving(startName(), requestId, SoakClock.now());
+            connection.announceLeaving();
+        }
         if (request.headers().containsKey("stage")) {
             pauseIf(UpstreamFault.Silent.BEFORE_HEAD);
             connection.write(
@@ -212,7 +249,11 @@
                 }
             }
             case UpstreamFault.Silent(int eventsBefore, long milliseconds) -> pauseIf(UpstreamFault.Silent.BEFORE_HEAD);
-            case UpstreamFault.None(), UpstreamFault.Refuses(), UpstreamFault.Cuts() -> {}
+            case UpstreamFault.None(),
+                    UpstreamFault.Refuses(),
+                    UpstreamFault.Cuts(),
+                    UpstreamFault.Leaves(),
+                    UpstreamFault.NamesReturn() -> {}
         }
         return route.equals("stream")
                 ? sendEventStream(connection, request, requestId)
--- a/src/standin/java/org/lacewingstep/soak/UpstreamFault.java
+++ b/src/standin/java/org/lacewingstep/soak/UpstreamFault.java
@@ -44,6 +44,14 @@
      */
     record RepeatsRefusal(boolean identified) implements UpstreamFault {}
 
+    /** Says in every response that it leaves, and goes on serving until it restarts. */
+    record Leaves() implements UpstreamFault {}
+
+    /** Rejects every request and names a time of return. */
+    record NamesReturn() implements UpstreamFault {
+        static final long PAUSE_MILLISECONDS = 1500;
+    }
+
     /** Breaks off every event stream and responds with an error when a stream is resumed. */
     record BreaksStreams() implements UpstreamFault {}
 }
--- a/src/test/java/org/lacewingstep/soak/SoakTest.java
+++ b/src/test/java/org/lacewingstep/soak/SoakTest.java
@@ -42,6 +42,13 @@
         assertThat(Soak.run(31, FAULT_MILLISECONDS, INSTANCE_COUNT, faults)).isEmpty();
     }
 
+    /** Guards against requests to upstreams that have said that they leave or when they want requests again. */
+    @Test
+    void upstreamsThatLeaveOrNameATimeOfReturnViolateNoGuarantee() throws Exception {
+        assertThat(Soak.run(51, FAULT_MILLISECONDS, INSTANCE_COUNT, EnumSet.of(AdditionalFault.NOTICE)))
+                .isEmpty();
+    }
+
     /** Guards against entries of other writers, broken streams and route changes that stop or confuse an instance. */
     @Test
     void oddEntriesBrokenStreamsAndChangedRoutesViolateNoGuarantee() throws Exception {
