--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -350,7 +350,7 @@
      */
     record ReservationCompleted(RequestIdentifier request, UpstreamName upstream, CallResult result) implements Event {}
 
-    /** An upstream has announced in a response that it leaves or wants a pause. */
+    /** A response announced that its upstream is shutting down or must not be sent requests for a time. */
     record UpstreamNoticeReceived(UpstreamNotice notice) implements Event {}
 
     /**
--- a/src/main/java/org/lacewingstep/blackboard/UpstreamNotice.java
+++ b/src/main/java/org/lacewingstep/blackboard/UpstreamNotice.java
@@ -12,8 +12,8 @@
  *
  * @param start the start of the upstream that sent the response, not null
  * @param request the request that the response belongs to, not null
- * @param leaving whether the upstream leaves and wants no further requests
- * @param pause time for which the upstream wants no requests from this instance, empty if it asks for none
+ * @param leaving whether the upstream is shutting down and must be sent no further requests
+ * @param pause time for which this instance must send the upstream no requests, empty for none
  */
 public record UpstreamNotice(
         UpstreamStart start, RequestIdentifier request, boolean leaving, Optional<Duration> pause) {
@@ -27,7 +27,7 @@
     /**
      * Returns whether the response announced anything.
      *
-     * @return true if the upstream leaves or wants a pause
+     * @return true if the upstream is shutting down or named a pause
      */
     public boolean isPresent() {
         return leaving || pause.isPresent();
--- a/src/main/java/org/lacewingstep/blackboard/UpstreamNoticeSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/UpstreamNoticeSection.java
@@ -54,7 +54,7 @@
      * What a start of an upstream has announced.
      *
      * @param leavingSince when this instance learned that the upstream leaves, empty if it does not
-     * @param pausedUntil end of the pause that the upstream asked for, not null
+     * @param pausedUntil end of the pause that the upstream announced, not null
      */
     public record Announcement(Optional<Instant> leavingSince, Instant pausedUntil) {
         /** The announcements of an upstream that has made none. */
--- a/src/main/java/org/lacewingstep/command/PlatformProcess.java
+++ b/src/main/java/org/lacewingstep/command/PlatformProcess.java
@@ -90,7 +90,7 @@
                 new ControlThread(Blackboard.initial(new Identity(self, Policy.DEFAULT)), clock, this::handle, metrics);
     }
 
-    /** Asks the control thread to finish the requests and to allow the process to exit. */
+    /** Starts the planned stop: the control thread finishes the requests and then allows the process to exit. */
     void requestStop() {
         control.post(new Event.ShutdownRequested());
     }
--- a/src/main/java/org/lacewingstep/controller/UpstreamAvailability.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamAvailability.java
@@ -24,7 +24,7 @@
     private UpstreamAvailability() {}
 
     /**
-     * Returns whether an upstream may be sent a request: it does not leave and no pause that it asked for is running.
+     * Returns whether an upstream may be sent a request: it is not shutting down and none of its pauses is running.
      *
      * @param board the blackboard, not null
      * @param upstream the upstream, not null
--- a/src/main/java/org/lacewingstep/controller/UpstreamNoticeController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamNoticeController.java
@@ -20,7 +20,7 @@
 import org.lacewingstep.domain.UpstreamStart;
 import org.pcollections.PMap;
 
-/** Records which upstreams leave or want a pause by what they announce in their responses. */
+/** Records which upstreams announce in their responses that they are shutting down or pause requests. */
 public final class UpstreamNoticeController implements Controller<UpstreamNoticeSection> {
     /** Most starts of upstreams whose announcements are kept; many more than a site has at a time. */
     static final int MAX_ANNOUNCEMENTS = 4096;
--- a/src/main/java/org/lacewingstep/platform/NoticeHeaders.java
+++ b/src/main/java/org/lacewingstep/platform/NoticeHeaders.java
@@ -12,7 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Reads the headers by which an upstream says that it leaves or when it wants requests again. */
+/** Reads the headers that announce the shutdown of an upstream or the time at which it accepts requests again. */
 final class NoticeHeaders {
     private static final String SERVER_LEAVING = "Server-Leaving";
     private static final String LEAVING = "1";
--- a/src/standin/java/org/lacewingstep/soak/NoticeLedger.java
+++ b/src/standin/java/org/lacewingstep/soak/NoticeLedger.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Limits what reaches upstreams after they have said that they leave or when they want requests again. */
+/** Limits the requests that reach upstreams after they announced their shutdown or a time of return. */
 final class NoticeLedger {
     /** Time after which an instance that was told must send nothing more to an upstream that leaves. */
     private static final long DRAIN_MILLISECONDS = 2000;
