Start where a contract and its bounds are not in force

Cause: PlatformSettings demanded every bound, so both sites without the contract places ended with SETTINGS_INVALID on all instances.

--- a/src/main/java/org/lacewingstep/command/CheckCommand.java
+++ b/src/main/java/org/lacewingstep/command/CheckCommand.java
@@ -1,9 +1,12 @@
 package org.lacewingstep.command;
 
+import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 
 import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.platform.PlatformSettings;
+import org.lacewingstep.platform.SiteContracts;
 import org.lacewingstep.settings.InstanceSettings;
 import org.lacewingstep.settings.InventoryCompiler;
 import picocli.CommandLine.Command;
@@ -26,6 +29,9 @@
     @Option(names = "--rules", description = "the rules, checked together with --inventory")
     private Path rules;
 
+    @Option(names = "--platform", description = "settings that a platform passes to an instance, a JSON file")
+    private Path platform;
+
     @Parameters(arity = "0..1", paramLabel = "SETTINGS", description = "settings of an instance, a TOML file")
     private Path settings;
 
@@ -34,9 +40,12 @@
 
     @Override
     public Integer call() {
-        if ((inventory == null) != (rules == null) || settings == null && inventory == null) {
+        if ((inventory == null) != (rules == null) || settings == null && inventory == null && platform == null) {
             throw new ParameterException(
-                    spec.commandLine(), "give SETTINGS, or --inventory together with --rules, or all three");
+                    spec.commandLine(), "give SETTINGS, --platform, or --inventory together with --rules");
+        }
+        if (platform != null) {
+            printContracts(PlatformSettings.read(platform).contracts());
         }
         if (settings != null) {
             InstanceSettings.read(settings);
@@ -47,4 +56,11 @@
         spec.commandLine().getOut().println("no faults");
         return 0;
     }
+
+    private void printContracts(final SiteContracts contracts) {
+        final PrintWriter out = spec.commandLine().getOut();
+        out.println("in force: " + String.join(", ", contracts.inForce()));
+        out.println("not in force: " + String.join(", ", contracts.notInForce()));
+        out.println("unknown, ignored: " + String.join(", ", contracts.unknown()));
+    }
 }
--- a/src/main/java/org/lacewingstep/command/PlatformProcess.java
+++ b/src/main/java/org/lacewingstep/command/PlatformProcess.java
@@ -90,6 +90,14 @@
                 new ControlThread(Blackboard.initial(new Identity(self, Policy.DEFAULT)), clock, this::handle, metrics);
     }
 
+    private void logContracts() {
+        LOGGER.atInfo()
+                .addKeyValue("in_force", settings.contracts().inForce())
+                .addKeyValue("not_in_force", settings.contracts().notInForce())
+                .addKeyValue("unknown", settings.contracts().unknown())
+                .log("contracts of the site");
+    }
+
     /** Starts the planned stop: the control thread finishes the requests and then allows the process to exit. */
     void requestStop() {
         control.post(new Event.ShutdownRequested());
@@ -119,6 +127,7 @@
     void start() throws Exception {
         // The watch starts first: until its handler is installed, SIGHUP would terminate the process.
         settingsWatch.start();
+        logContracts();
         final OpenCalls openCalls = new OpenCalls(
                 new PlatformProtocol(),
                 new UpstreamPools(TransportDetector.getSocketChannelImpl()),
--- a/src/main/java/org/lacewingstep/platform/PlatformSettings.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformSettings.java
@@ -27,6 +27,7 @@
  * @param peerAddress the address for other instances, not null
  * @param storeAddress the address of the platform's store, not null
  * @param firstStart whether all instances of the site start together with this process
+ * @param contracts the contracts that the site has in force, not null
  */
 public record PlatformSettings(
         SitePolicy policy,
@@ -34,7 +35,8 @@
         PeerAddress readyAddress,
         PeerAddress peerAddress,
         PeerAddress storeAddress,
-        boolean firstStart) {
+        boolean firstStart,
+        SiteContracts contracts) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final long MILLISECONDS_PER_SECOND = 1000;
 
@@ -65,7 +67,8 @@
     public static PlatformSettings parse(final String name, final String text) {
         final Faults faults = new Faults(name);
         final TableReader root = new TableReader(parseJson(name, text), "", faults);
-        final TableReader bounds = root.table("bounds");
+        final SiteContracts contracts = SiteContracts.read(root.node(), faults);
+        final BoundReader bounds = new BoundReader(root.table("bounds"), contracts);
         final TableReader listen = root.table("listen");
         final PeerAddress callerAddress = listen.address("front");
         final PeerAddress readyAddress = listen.address("ready");
@@ -74,17 +77,17 @@
         final String instance = root.text("node");
         final String domain = root.text("zone");
         final Map<FailureDomainName, RegionName> regions = regions(root.table("zones"));
-        final Duration withdrawalLimit = bounds.milliseconds("revokeMs");
-        final Duration shutdownLimit = bounds.seconds("graceS");
-        final double retryRatio = bounds.number("retryBudgetRatio");
-        final Duration retryWindow = bounds.seconds("budgetWindowS");
-        final double retrySlack = bounds.number("retrySlack");
-        final Duration rateWindow = bounds.seconds("quotaWindowS");
-        final double rateExcess = bounds.number("quotaOver");
-        final double rateSlack = bounds.number("quotaSlack");
-        final double coldExcess = bounds.number("coldOver");
-        final double coldSlack = bounds.number("coldSlack");
-        final Duration orderInterval = bounds.milliseconds("leaseMs");
+        final Duration withdrawalLimit = bounds.milliseconds(SiteBound.REVOKE);
+        final Duration shutdownLimit = bounds.seconds(SiteBound.GRACE);
+        final double retryRatio = bounds.number(SiteBound.RETRY_RATIO);
+        final Duration retryWindow = bounds.seconds(SiteBound.RETRY_WINDOW);
+        final double retrySlack = bounds.number(SiteBound.RETRY_SLACK);
+        final Duration rateWindow = bounds.seconds(SiteBound.RATE_WINDOW);
+        final double rateExcess = bounds.number(SiteBound.RATE_EXCESS);
+        final double rateSlack = bounds.number(SiteBound.RATE_SLACK);
+        final double coldExcess = bounds.number(SiteBound.COLD_EXCESS);
+        final double coldSlack = bounds.number(SiteBound.COLD_SLACK);
+        final Duration orderInterval = bounds.milliseconds(SiteBound.ORDER_INTERVAL);
         faults.throwIfAny(ErrorCode.SETTINGS_INVALID);
         final SitePolicy policy = new SitePolicy(
                 new InstanceName(instance),
@@ -107,7 +110,8 @@
                 readyAddress,
                 peerAddress,
                 storeAddress,
-                root.node().path("bootstrap").asBoolean());
+                root.node().path("bootstrap").asBoolean(),
+                contracts);
     }
 
     private static JsonNode parseJson(final String name, final String text) {
@@ -130,6 +134,43 @@
         return regions;
     }
 
+    /** Reads the bounds of the site; an absent bound is a fault only if its contract is in force. */
+    private record BoundReader(TableReader table, SiteContracts contracts) {
+        double number(final SiteBound bound) {
+            final JsonNode value = table.node().path(bound.key());
+            if (value.isMissingNode() && !contracts.isInForce(bound.contract())) {
+                return bound.absentValue();
+            }
+            if (!value.isNumber() || value.asDouble() < 0) {
+                addFault(bound, "must be a number of zero or more");
+                return bound.absentValue();
+            }
+            return value.asDouble();
+        }
+
+        Duration milliseconds(final SiteBound bound) {
+            return positive(bound, number(bound));
+        }
+
+        Duration seconds(final SiteBound bound) {
+            return positive(bound, number(bound) * MILLISECONDS_PER_SECOND);
+        }
+
+        private Duration positive(final SiteBound bound, final double milliseconds) {
+            if (milliseconds == 0) {
+                addFault(bound, "must be more than zero");
+                return Duration.ofMillis(1);
+            }
+            return Duration.ofMillis((long) milliseconds);
+        }
+
+        private void addFault(final SiteBound bound, final String description) {
+            final String reason =
+                    contracts.isInForce(bound.contract()) ? " (contract " + bound.contract() + " is in force)" : "";
+            table.faults().add(table.path() + bound.key(), description + reason);
+        }
+    }
+
     /** Reads the fields of one JSON object and collects their faults. */
     private record TableReader(JsonNode node, String path, Faults faults) {
         private static final String ADDRESS_FAULT = "must be an address of the form host:port";
@@ -150,33 +191,6 @@
             return text;
         }
 
-        double number(final String key) {
-            final JsonNode value = node.path(key);
-            if (!value.isNumber() || value.asDouble() < 0) {
-                faults.add(path + key, "must be a number of zero or more");
-                return 0;
-            }
-            return value.asDouble();
-        }
-
-        Duration milliseconds(final String key) {
-            final double value = number(key);
-            if (value == 0) {
-                faults.add(path + key, "must be more than zero");
-                return Duration.ofMillis(1);
-            }
-            return Duration.ofMillis((long) value);
-        }
-
-        Duration seconds(final String key) {
-            final double value = number(key);
-            if (value == 0) {
-                faults.add(path + key, "must be more than zero");
-                return Duration.ofMillis(1);
-            }
-            return Duration.ofMillis((long) (value * MILLISECONDS_PER_SECOND));
-        }
-
         /** Reads the address for peers, with the first of the ports reserved for traffic between instances. */
         PeerAddress peerAddress() {
             final String host = text("ip");
