Part cost and room of an upstream from its choice

Cause: the choice of candidates, the cost of an upstream and the room at it are about to change for different reasons. Change: UpstreamCost and UpstreamRoom, moved without a change of behaviour. Measured: tests of controller/ and ArchitectureTest pass.

--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/UpstreamRoom.java
@@ -0,0 +1,90 @@
+package org.lacewingstep.controller;
+
+import java.time.Instant;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.CallSection.Call;
+import org.lacewingstep.domain.RegisteredUpstream;
+import org.lacewingstep.domain.ServiceLimits;
+import org.lacewingstep.domain.UpstreamRole;
+import org.lacewingstep.domain.UpstreamUse;
+
+/** Decides whether an upstream has room for a call: memory of an engine, and the rate that a cold upstream bears. */
+final class UpstreamRoom {
+    /** Factor of an engine's memory that predicted final sizes may add up to; few requests are at that size at once. */
+    private static final double MEMORY_OVERCOMMIT = 1.2;
+
+    /** Memory factor for a call that can no longer be on time; lower, so that calls which can be find a place. */
+    private static final double LATE_MEMORY_OVERCOMMIT = 0.8;
+
+    /**
+     * Divisor of an engine's memory that yields the memory of a typical call. A larger call requires no more free
+     * memory than a typical one, since small calls would otherwise always be placed before the large call.
+     */
+    private static final int TYPICAL_CALL_DIVISOR = 8;
+
+    /**
+     * Fraction of the rate that a cold upstream bears up to which a warm one receives requests without a share or turn:
+     * should it turn cold unnoticed, the requests of the following second still stay below that rate.
+     */
+    private static final double SPARE_COLD_FRACTION = 0.3;
+
+    /** Upstreams of a role from which the requests of a site spread so widely that none receives many at once. */
+    private static final int MIN_ALTERNATIVES = 8;
+
+    private UpstreamRoom() {}
+
+    /**
+     * Returns whether an engine has memory for the predicted final size of a call, because memory is reserved before
+     * the prompt is processed elsewhere.
+     *
+     * @param board the blackboard, not null
+     * @param call the call, not null
+     * @param upstream the upstream, not null
+     * @param now the present time, not null
+     * @return true if the call fits or if the upstream is no engine that generates output
+     */
+    static boolean hasCapacity(
+            final Blackboard board, final Call call, final RegisteredUpstream upstream, final Instant now) {
+        final ServiceLimits service =
+                board.serving().routing().table().services().get(upstream.service());
+        if (upstream.role() != UpstreamRole.DECODE || service == null || service.memoryTokens() == 0) {
+            return true;
+        }
+        final UpstreamUse use = board.serving().use(upstream.name(), now);
+        final double overcommit =
+                CallPlacement.canMeetLatencyTarget(call, now) ? MEMORY_OVERCOMMIT : LATE_MEMORY_OVERCOMMIT;
+        final long requiredTokens = Math.min(call.tokens(), service.memoryTokens() / TYPICAL_CALL_DIVISOR);
+        return use.requests() == 0 || use.tokens() + requiredTokens <= service.memoryTokens() * overcommit;
+    }
+
+    /**
+     * Returns whether an upstream bears another request if it is cold. Every upstream is limited as if cold, because an
+     * upstream may turn cold before its registry entry is updated.
+     *
+     * @param board the blackboard, not null
+     * @param upstream the upstream, not null
+     * @param alternatives the number of upstreams of the role, this one included
+     * @param now the present time, not null
+     * @return true if the request may be sent
+     */
+    static boolean isWithinColdStartLimit(
+            final Blackboard board, final RegisteredUpstream upstream, final int alternatives, final Instant now) {
+        final ServiceLimits service =
+                board.serving().routing().table().services().get(upstream.service());
+        if (service == null || service.coldRequestsPerSecond() <= 0) {
+            return true;
+        }
+        final long ownArrivals = UpstreamCost.load(board, upstream).recentArrivals(now);
+        return ownArrivals
+                        < AllowanceShare.coldRequestLimit(board, upstream.name(), service.coldRequestsPerSecond(), now)
+                || upstream.coldFor().isZero()
+                        && alternatives >= MIN_ALTERNATIVES
+                        && ownArrivals
+                                        + board.serving()
+                                                .use(upstream.name(), now)
+                                                .arrivals()
+                                < SPARE_COLD_FRACTION
+                                        * AllowanceShare.coldSiteLimit(board, service.coldRequestsPerSecond());
+    }
+}
