Bound the upstreams that a choice examines and add up peer reports on arrival

A choice sorted all upstreams of the service with a comparator that hashed both names anew in each comparison, for each queued call at each poll; the use of an upstream was summed over all other instances at each question, up to three times for each upstream; a queued call walked all upstreams for announced pauses.

RegistrySection keeps the names of each service and role in order. Sites of up to 16 instances compare all of them as before, without sorting, and hash each once; larger sites walk a pseudo-random permutation, examine at most 32 and compare two. UpstreamLoadSection keeps the sums of the peers' reports and takes stale ones out. The walk for pauses ends at the first upstream that accepts requests. The parts of prompts are ordered once, and not at all while none can become limited. The ranking of relays hashes each name once.

--- a/src/main/java/org/lacewingstep/blackboard/UpstreamLoadSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/UpstreamLoadSection.java
@@ -17,14 +17,20 @@
  *
  * @param loads the load of this instance at each upstream, not null
  * @param peers the last report of each other instance, not null
+ * @param peerUses the sum of these reports for each upstream that they name, not null
+ * @param oldestPeer a time before which none of these reports arrived, not null
  * @param broadcastDue when the next report to the other instances is due, not null
  */
 public record UpstreamLoadSection(
-        PMap<UpstreamName, Load> loads, PMap<InstanceName, PeerLoad> peers, Instant broadcastDue)
+        PMap<UpstreamName, Load> loads,
+        PMap<InstanceName, PeerLoad> peers,
+        PMap<UpstreamName, UpstreamUse> peerUses,
+        Instant oldestPeer,
+        Instant broadcastDue)
         implements ServingSection {
     /** The initial section of a process. */
-    public static final UpstreamLoadSection INITIAL =
-            new UpstreamLoadSection(HashTreePMap.empty(), HashTreePMap.empty(), Instant.MAX);
+    public static final UpstreamLoadSection INITIAL = new UpstreamLoadSection(
+            HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), Instant.MAX, Instant.MAX);
 
     /**
      * Returns the load of this instance at an upstream.
@@ -44,15 +50,115 @@
      * @return the sum of the uses, never null
      */
     public UpstreamUse use(final UpstreamName upstream, final Instant oldest) {
-        UpstreamUse sum = of(upstream).running();
-        for (final PeerLoad peer : peers.values()) {
-            if (peer.at().isAfter(oldest)) {
-                sum = sum.plus(peer.uses().getOrDefault(upstream, UpstreamUse.NONE));
+        UpstreamUse sum = of(upstream).running().plus(peerUses.getOrDefault(upstream, UpstreamUse.NONE));
+        if (!oldestPeer.isAfter(oldest)) {
+            for (final PeerLoad peer : peers.values()) {
+                if (!peer.at().isAfter(oldest)) {
+                    sum = sum.minus(peer.uses().getOrDefault(upstream, UpstreamUse.NONE));
+                }
             }
         }
         return sum;
     }
 
+    /**
+     * Replaces the report of another instance.
+     *
+     * @param instance the other instance, not null
+     * @param report the report, not null
+     * @return the updated section, never null
+     */
+    public UpstreamLoadSection withReport(final InstanceName instance, final PeerLoad report) {
+        final Map<UpstreamName, UpstreamUse> previous =
+                peers.containsKey(instance) ? peers.get(instance).uses() : Map.of();
+        PMap<UpstreamName, UpstreamUse> sums = peerUses;
+        for (final Map.Entry<UpstreamName, UpstreamUse> use : report.uses().entrySet()) {
+            final UpstreamUse before = previous.getOrDefault(use.getKey(), UpstreamUse.NONE);
+            sums = withChange(sums, use.getKey(), before, use.getValue());
+        }
+        for (final Map.Entry<UpstreamName, UpstreamUse> use : previous.entrySet()) {
+            if (!report.uses().containsKey(use.getKey())) {
+                sums = withChange(sums, use.getKey(), use.getValue(), UpstreamUse.NONE);
+            }
+        }
+        final Instant oldest = report.at().isBefore(oldestPeer) ? report.at() : oldestPeer;
+        return new UpstreamLoadSection(loads, peers.plus(instance, report), sums, oldest, broadcastDue);
+    }
+
+    /**
+     * Removes the report of an instance.
+     *
+     * @param instance the instance, not null
+     * @return the updated section, never null
+     */
+    public UpstreamLoadSection withoutReport(final InstanceName instance) {
+        final PeerLoad report = peers.get(instance);
+        if (report == null) {
+            return this;
+        }
+        PMap<UpstreamName, UpstreamUse> sums = peerUses;
+        for (final Map.Entry<UpstreamName, UpstreamUse> use : report.uses().entrySet()) {
+            sums = withChange(sums, use.getKey(), use.getValue(), UpstreamUse.NONE);
+        }
+        return new UpstreamLoadSection(loads, peers.minus(instance), sums, oldestPeer, broadcastDue);
+    }
+
+    /**
+     * Removes the reports that are no longer counted, unless all are known to be recent.
+     *
+     * @param oldest reports received until this time are removed, not null
+     * @return the updated section, never null
+     */
+    public UpstreamLoadSection withoutReportsUntil(final Instant oldest) {
+        if (oldestPeer.isAfter(oldest)) {
+            return this;
+        }
+        UpstreamLoadSection next = this;
+        Instant earliest = Instant.MAX;
+        for (final Map.Entry<InstanceName, PeerLoad> peer : peers.entrySet()) {
+            final Instant at = peer.getValue().at();
+            if (!at.isAfter(oldest)) {
+                next = next.withoutReport(peer.getKey());
+            } else if (at.isBefore(earliest)) {
+                earliest = at;
+            }
+        }
+        return new UpstreamLoadSection(next.loads, next.peers, next.peerUses, earliest, broadcastDue);
+    }
+
+    /**
+     * Replaces the load of this instance at each upstream.
+     *
+     * @param next the loads, not null
+     * @return the updated section, never null
+     */
+    public UpstreamLoadSection withLoads(final PMap<UpstreamName, Load> next) {
+        return new UpstreamLoadSection(next, peers, peerUses, oldestPeer, broadcastDue);
+    }
+
+    /**
+     * Replaces the time of the next report.
+     *
+     * @param next when the next report is due, not null
+     * @return the updated section, never null
+     */
+    public UpstreamLoadSection withBroadcastDue(final Instant next) {
+        return new UpstreamLoadSection(loads, peers, peerUses, oldestPeer, next);
+    }
+
+    private static PMap<UpstreamName, UpstreamUse> withChange(
+            final PMap<UpstreamName, UpstreamUse> sums,
+            final UpstreamName upstream,
+            final UpstreamUse before,
+            final UpstreamUse after) {
+        if (before.equals(after)) {
+            return sums;
+        }
+        final UpstreamUse sum =
+                sums.getOrDefault(upstream, UpstreamUse.NONE).minus(before).plus(after);
+        return sum.equals(UpstreamUse.NONE) ? sums.minus(upstream) : sums.plus(upstream, sum);
+    }
+
     /**
      * The last report of another instance about its use of the upstreams.
      *
--- a/src/main/java/org/lacewingstep/controller/PromptQuarantine.java
+++ b/src/main/java/org/lacewingstep/controller/PromptQuarantine.java
@@ -162,8 +162,12 @@
      * @return the updated section, never null
      */
     static PromptSection update(final Blackboard board, final PromptSection section, final Instant now) {
-        final Set<PromptPart> quarantined = findCauses(board, section, now);
-        final Set<PromptPart> onTrial = findTrials(board, section, quarantined, now);
+        if (section.suspicions().values().stream().noneMatch(PromptQuarantine::mayChange)) {
+            return section;
+        }
+        final List<Map.Entry<PromptPart, Suspicion>> ordered = likeliestFirst(section);
+        final Set<PromptPart> quarantined = findCauses(board, section, ordered, now);
+        final Set<PromptPart> onTrial = findTrials(board, section, ordered, quarantined, now);
         PMap<PromptPart, Suspicion> next = section.suspicions();
         for (final Map.Entry<PromptPart, Suspicion> entry : section.suspicions().entrySet()) {
             final Suspicion known = entry.getValue();
@@ -182,6 +186,13 @@
         return section.withSuspicions(next);
     }
 
+    /** Returns whether a part may become limited or is limited now. */
+    private static boolean mayChange(final Suspicion suspicion) {
+        return hasCrashes(suspicion, TRIAL_UPSTREAM_THRESHOLD)
+                || suspicion.quarantinedAt().isPresent()
+                || suspicion.trial().isPresent();
+    }
+
     /** Returns the time of the crash that began the trial, which is about the same at all instances. */
     private static Instant trialStart(final Suspicion suspicion, final Instant now) {
         final List<Crash> crashes = countedCrashes(suspicion, now);
@@ -204,7 +215,11 @@
      * moment or after the first events of the responses, as also happens when upstreams crash for another reason.
      */
     private static Set<PromptPart> findTrials(
-            final Blackboard board, final PromptSection section, final Set<PromptPart> quarantined, final Instant now) {
+            final Blackboard board,
+            final PromptSection section,
+            final List<Map.Entry<PromptPart, Suspicion>> ordered,
+            final Set<PromptPart> quarantined,
+            final Instant now) {
         final Set<PromptPart> tried = new HashSet<>();
         if (section.suspicions().values().stream().noneMatch(known -> hasCrashes(known, TRIAL_UPSTREAM_THRESHOLD))) {
             return tried;
@@ -213,7 +228,7 @@
         final Set<UpstreamStart> explained = new HashSet<>();
         quarantined.forEach(
                 part -> explained.addAll(starts(section.suspicions().get(part).crashes())));
-        for (final Map.Entry<PromptPart, Suspicion> entry : likeliestFirst(section)) {
+        for (final Map.Entry<PromptPart, Suspicion> entry : ordered) {
             final List<Crash> crashes = countedCrashes(entry.getValue(), now);
             final boolean unexplained = countAttempts(without(crashes, explained)) >= UNEXPLAINED_ATTEMPT_THRESHOLD;
             if (crashes.size() >= TRIAL_UPSTREAM_THRESHOLD
@@ -234,7 +249,11 @@
      * <p>The sound parts of a prompt crash together with the harmful one. A part is therefore not blamed for the
      * crashes on a quarantined part, nor for those on one likelier part that may still become quarantined.
      */
-    private static Set<PromptPart> findCauses(final Blackboard board, final PromptSection section, final Instant now) {
+    private static Set<PromptPart> findCauses(
+            final Blackboard board,
+            final PromptSection section,
+            final List<Map.Entry<PromptPart, Suspicion>> ordered,
+            final Instant now) {
         final Duration window = incidentWindow(board);
         final Set<PromptPart> causes = new HashSet<>();
         final Set<UpstreamStart> explained = new HashSet<>();
@@ -242,7 +261,7 @@
             return causes;
         }
         final List<List<Crash>> likelier = new ArrayList<>();
-        for (final Map.Entry<PromptPart, Suspicion> entry : likeliestFirst(section)) {
+        for (final Map.Entry<PromptPart, Suspicion> entry : ordered) {
             final List<Crash> crashes = quarantineEvidence(entry.getValue(), now);
             final boolean crashedOnly = countIncidents(crashes, window) >= INCIDENT_THRESHOLD
                     && countUnexplained(without(crashes, explained), likelier, window)
--- a/src/main/java/org/lacewingstep/controller/RegistryController.java
+++ b/src/main/java/org/lacewingstep/controller/RegistryController.java
@@ -18,7 +18,6 @@
 import org.lacewingstep.blackboard.TimerKey;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.UpstreamName;
-import org.pcollections.PMap;
 
 /** Maintains the registry of upstreams: reads a snapshot from the store once, then watches for changes. */
 public final class RegistryController implements Controller<RegistrySection> {
@@ -66,15 +65,18 @@
     private static Outcome<RegistrySection> applySnapshot(
             final RegistrySection registry, final List<StoreChange> content, final long revision, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
-        PMap<UpstreamName, Entry> next = registry.upstreams();
+        RegistrySection next = registry;
         for (final UpstreamName name : registry.upstreams().keySet()) {
             next = withMissing(next, name, now);
         }
         next = apply(next, content, now, builder);
-        builder.add(new Effect.Log(
-                Decision.of("registry", "read", Input.of("revision", revision), Input.of("upstreams", next.size()))));
+        builder.add(new Effect.Log(Decision.of(
+                "registry",
+                "read",
+                Input.of("revision", revision),
+                Input.of("upstreams", next.upstreams().size()))));
         builder.add(new Effect.AwaitStoreChanges(revision, WATCH_TIMEOUT));
-        return builder.outcome(new RegistrySection(withoutExpired(next, now), Optional.of(revision)));
+        return builder.outcome(withoutExpired(next, now).withRevision(Optional.of(revision)));
     }
 
     /** Applies changes and delays the next watch to batch the frequent upstream writes; each request has a cost. */
@@ -82,11 +84,11 @@
             final Blackboard board, final List<StoreChange> changes, final long revision, final Instant now) {
         final RegistrySection registry = board.serving().registry();
         final OutcomeBuilder builder = new OutcomeBuilder();
-        final PMap<UpstreamName, Entry> next = apply(registry.upstreams(), changes, now, builder);
+        final RegistrySection next = apply(registry, changes, now, builder);
         builder.add(new Effect.StartTimer(
                 new TimerKey.StoreWatch(),
                 now.plus(RelayPolicy.pause(board, RELAYED_WATCH_INTERVAL, SITE_WATCHES_PER_SECOND, now))));
-        return builder.outcome(new RegistrySection(withoutExpired(next, now), Optional.of(revision)));
+        return builder.outcome(withoutExpired(next, now).withRevision(Optional.of(revision)));
     }
 
     private static Outcome<RegistrySection> handleFailedWatch(
@@ -100,7 +102,7 @@
                 Input.of("revision", registry.revision().map(String::valueOf).orElse("none")))));
         if (historyLost) {
             builder.add(new Effect.ReadStore());
-            return builder.outcome(new RegistrySection(registry.upstreams(), Optional.empty()));
+            return builder.outcome(registry.withRevision(Optional.empty()));
         }
         final Duration pause = board.serving().site().isRelayed()
                 ? RelayPolicy.pause(board, RETRY_INTERVAL, SITE_WATCHES_PER_SECOND, now)
@@ -122,12 +124,12 @@
         return builder.outcome(registry);
     }
 
-    private static PMap<UpstreamName, Entry> apply(
-            final PMap<UpstreamName, Entry> upstreams,
+    private static RegistrySection apply(
+            final RegistrySection registry,
             final List<StoreChange> changes,
             final Instant now,
             final OutcomeBuilder builder) {
-        PMap<UpstreamName, Entry> next = upstreams;
+        RegistrySection next = registry;
         for (final StoreChange change : changes) {
             next = switch (change) {
                 case StoreChange.UpstreamRegistered(RegisteredUpstream upstream) ->
@@ -142,11 +144,9 @@
         return next;
     }
 
-    private static PMap<UpstreamName, Entry> withRegistered(
-            final PMap<UpstreamName, Entry> upstreams,
-            final RegisteredUpstream upstream,
-            final OutcomeBuilder builder) {
-        final Entry known = upstreams.get(upstream.name());
+    private static RegistrySection withRegistered(
+            final RegistrySection registry, final RegisteredUpstream upstream, final OutcomeBuilder builder) {
+        final Entry known = registry.upstreams().get(upstream.name());
         if (known == null || !known.upstream().equals(upstream)) {
             builder.add(new Effect.Log(Decision.of(
                     "upstream",
@@ -156,24 +156,23 @@
                     Input.of("address", upstream.address()),
                     Input.of("cold_ms", upstream.coldFor().toMillis()))));
         }
-        return upstreams.plus(upstream.name(), new Entry(upstream, Optional.empty()));
+        return registry.with(new Entry(upstream, Optional.empty()));
     }
 
-    private static PMap<UpstreamName, Entry> withMissing(
-            final PMap<UpstreamName, Entry> upstreams, final UpstreamName name, final Instant now) {
-        final Entry known = upstreams.get(name);
+    private static RegistrySection withMissing(
+            final RegistrySection registry, final UpstreamName name, final Instant now) {
+        final Entry known = registry.upstreams().get(name);
         if (known == null || known.missingSince().isPresent()) {
-            return upstreams;
+            return registry;
         }
-        return upstreams.plus(name, new Entry(known.upstream(), Optional.of(now)));
+        return registry.with(new Entry(known.upstream(), Optional.of(now)));
     }
 
-    private static PMap<UpstreamName, Entry> withoutExpired(
-            final PMap<UpstreamName, Entry> upstreams, final Instant now) {
-        PMap<UpstreamName, Entry> next = upstreams;
-        for (final Map.Entry<UpstreamName, Entry> known : upstreams.entrySet()) {
+    private static RegistrySection withoutExpired(final RegistrySection registry, final Instant now) {
+        RegistrySection next = registry;
+        for (final Map.Entry<UpstreamName, Entry> known : registry.upstreams().entrySet()) {
             if (!isRetained(known.getValue(), now)) {
-                next = next.minus(known.getKey());
+                next = next.without(known.getKey());
             }
         }
         return next;
--- a/src/main/java/org/lacewingstep/controller/RelayController.java
+++ b/src/main/java/org/lacewingstep/controller/RelayController.java
@@ -272,7 +272,7 @@
     private static Optional<Member> remoteRelay(final Blackboard board, final FailureDomainName domain) {
         return Optional.ofNullable(board.serving().relay().remoteRelays().get(domain))
                 .map(board.serving().site().present()::get)
-                .or(() -> RelayPolicy.ranking(board, domain).stream().findFirst());
+                .or(() -> RelayPolicy.first(board, domain));
     }
 
     private static Outcome<RelaySection> applyDigest(
--- a/src/main/java/org/lacewingstep/controller/RelayPolicy.java
+++ b/src/main/java/org/lacewingstep/controller/RelayPolicy.java
@@ -25,6 +25,9 @@
     /** Time after the last query of another instance for which an instance that ranks lower stays a relay. */
     private static final Duration RELAY_PERIOD = Duration.ofSeconds(3);
 
+    private static final Comparator<RankedMember> RANK_ORDER = Comparator.comparingInt(RankedMember::hash)
+            .thenComparing(ranked -> ranked.member().name().value());
+
     private RelayPolicy() {}
 
     /**
@@ -37,10 +40,9 @@
     static List<Member> ranking(final Blackboard board, final FailureDomainName domain) {
         return board.serving().site().present().values().stream()
                 .filter(member -> member.failureDomain().equals(domain))
-                .sorted(Comparator.comparingInt((Member member) -> Hashing.murmur3_32()
-                                .hashUnencodedChars(member.name().value())
-                                .asInt())
-                        .thenComparing(member -> member.name().value()))
+                .map(RankedMember::of)
+                .sorted(RANK_ORDER)
+                .map(RankedMember::member)
                 .toList();
     }
 
@@ -55,11 +57,26 @@
         if (!board.serving().site().isRelayed()) {
             return false;
         }
-        final boolean first = ranking(board, ownDomain(board)).stream()
-                .findFirst()
-                .filter(member -> member.name().equals(board.identity().member().name()))
-                .isPresent();
-        return first || board.serving().relay().lastQueryAt().plus(RELAY_PERIOD).isAfter(now);
+        return board.serving().relay().lastQueryAt().plus(RELAY_PERIOD).isAfter(now)
+                || first(board, ownDomain(board))
+                        .filter(member ->
+                                member.name().equals(board.identity().member().name()))
+                        .isPresent();
+    }
+
+    /**
+     * Finds the instance of a failure domain that ranks first as a relay.
+     *
+     * @param board the blackboard, not null
+     * @param domain the failure domain, not null
+     * @return the instance, empty if none of the failure domain is registered
+     */
+    static Optional<Member> first(final Blackboard board, final FailureDomainName domain) {
+        return board.serving().site().present().values().stream()
+                .filter(member -> member.failureDomain().equals(domain))
+                .map(RankedMember::of)
+                .min(RANK_ORDER)
+                .map(RankedMember::member);
     }
 
     /**
@@ -115,4 +132,14 @@
     static FailureDomainName ownDomain(final Blackboard board) {
         return board.identity().member().failureDomain();
     }
+
+    private record RankedMember(Member member, int hash) {
+        private static RankedMember of(final Member member) {
+            return new RankedMember(
+                    member,
+                    Hashing.murmur3_32()
+                            .hashUnencodedChars(member.name().value())
+                            .asInt());
+        }
+    }
 }
--- a/src/main/java/org/lacewingstep/controller/UpstreamAvailability.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamAvailability.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -10,9 +9,10 @@
 
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallSection.Call;
-import org.lacewingstep.blackboard.RegistrySection.Entry;
 import org.lacewingstep.blackboard.UpstreamNoticeSection.Announcement;
 import org.lacewingstep.domain.RegisteredUpstream;
+import org.lacewingstep.domain.UpstreamName;
+import org.lacewingstep.domain.UpstreamRole;
 import org.lacewingstep.domain.UpstreamStart;
 import org.lacewingstep.placement.ReturnDelay;
 
@@ -49,18 +49,27 @@
      */
     static Optional<Duration> refusalDelay(
             final Blackboard board, final Call call, final Instant until, final Instant now) {
-        final List<RegisteredUpstream> upstreams = board.serving().registry().upstreams().values().stream()
-                .map(Entry::upstream)
-                .filter(upstream -> upstream.service().equals(call.service())
-                        && CallPlacement.RESPONDING_ROLES.contains(upstream.role())
-                        && !upstream.draining())
-                .toList();
-        final Optional<Instant> firstEnd = upstreams.stream()
-                .map(upstream -> announced(board, upstream))
-                .filter(announced -> announced.leavingSince().isEmpty())
-                .map(Announcement::pausedUntil)
-                .min(Instant::compareTo);
-        if (upstreams.isEmpty() || firstEnd.filter(until::isAfter).isPresent()) {
+        boolean known = false;
+        Optional<Instant> firstEnd = Optional.empty();
+        for (final UpstreamRole role : CallPlacement.RESPONDING_ROLES) {
+            for (final UpstreamName name : board.serving().registry().pool(call.service(), role)) {
+                final RegisteredUpstream upstream =
+                        board.serving().registry().upstreams().get(name).upstream();
+                if (upstream.draining()) {
+                    continue;
+                }
+                known = true;
+                final Announcement announced = announced(board, upstream);
+                if (announced.leavingSince().isEmpty()) {
+                    if (until.isAfter(announced.pausedUntil())) {
+                        return Optional.empty();
+                    }
+                    firstEnd = firstEnd.filter(end -> end.isBefore(announced.pausedUntil()))
+                            .or(() -> Optional.of(announced.pausedUntil()));
+                }
+            }
+        }
+        if (!known) {
             return Optional.empty();
         }
         final Duration pause = firstEnd.map(end -> Duration.between(now, end)).orElse(Duration.ZERO);
--- a/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
@@ -2,12 +2,10 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
-import com.google.common.hash.Hashing;
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallSection.Call;
 import org.lacewingstep.blackboard.RegistrySection.Entry;
@@ -16,6 +14,8 @@
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
+import org.lacewingstep.placement.UpstreamDraw;
+import org.pcollections.PVector;
 
 /** Chooses the eligible upstream of least cost for a call. */
 final class UpstreamChoice {
@@ -25,6 +25,9 @@
     /** Upstreams compared at larger sites; comparing two random ones spreads load nearly as well as comparing all. */
     private static final int RANDOM_CANDIDATES = 2;
 
+    /** Upstreams examined at larger sites; a queued call examines others each time it searches. */
+    private static final int MAX_EXAMINED = 32;
+
     private UpstreamChoice() {}
 
     /**
@@ -35,7 +38,7 @@
      * @param roles the upstream roles to choose from, not null
      * @param preferredDomain the failure domain to prefer, not null
      * @param now the present time, not null
-     * @return the upstream, empty if none is eligible now
+     * @return the upstream, empty if none of those examined is eligible now
      */
     static Optional<RegisteredUpstream> choose(
             final Blackboard board,
@@ -43,36 +46,45 @@
             final Set<UpstreamRole> roles,
             final FailureDomainName preferredDomain,
             final Instant now) {
-        final List<Candidate> candidates = new ArrayList<>();
-        final List<Entry> entries = shuffledEntries(board, call, roles);
-        for (final Entry entry : entries) {
-            if (isEligible(board, call, entry, entries.size(), now)) {
-                candidates.add(
-                        new Candidate(entry.upstream(), UpstreamCost.of(board, call, entry, preferredDomain, now)));
-            }
-            if (candidates.size() == candidateLimit(board)) {
-                break;
+        final UpstreamDraw draw = draw(board, call, roles, now);
+        final int limit = candidateLimit(board);
+        RegisteredUpstream chosen = null;
+        double leastCost = Double.POSITIVE_INFINITY;
+        int candidates = 0;
+        for (int i = 0; i < draw.size() && candidates < limit; i++) {
+            final Entry entry = board.serving().registry().upstreams().get(draw.get(i));
+            if (isEligible(board, call, entry, draw.alternatives(), now)) {
+                candidates++;
+                final double cost = UpstreamCost.of(board, call, entry, preferredDomain, now);
+                if (chosen == null || cost < leastCost) {
+                    chosen = entry.upstream();
+                    leastCost = cost;
+                }
             }
         }
-        return candidates.stream()
-                .min(Comparator.comparingDouble(Candidate::cost))
-                .map(Candidate::upstream);
+        return Optional.ofNullable(chosen);
     }
 
     /** Limits candidates at large sites, where load reports arrive late and all instances would choose one upstream. */
     private static int candidateLimit(final Blackboard board) {
-        return board.serving().site().instances() > MAX_INSTANCES_FOR_FULL_CHOICE
-                ? RANDOM_CANDIDATES
-                : Integer.MAX_VALUE;
+        return isLargeSite(board) ? RANDOM_CANDIDATES : Integer.MAX_VALUE;
     }
 
-    private static List<Entry> shuffledEntries(final Blackboard board, final Call call, final Set<UpstreamRole> roles) {
-        return board.serving().registry().upstreams().values().stream()
-                .filter(entry -> roles.contains(entry.upstream().role())
-                        && entry.upstream().service().equals(call.service()))
-                .sorted(Comparator.comparingDouble(
-                        entry -> tieBreak(call, entry.upstream().name())))
-                .toList();
+    private static boolean isLargeSite(final Blackboard board) {
+        return board.serving().site().instances() > MAX_INSTANCES_FOR_FULL_CHOICE;
+    }
+
+    private static UpstreamDraw draw(
+            final Blackboard board, final Call call, final Set<UpstreamRole> roles, final Instant now) {
+        final List<PVector<UpstreamName>> pools = new ArrayList<>();
+        for (final UpstreamRole role : UpstreamRole.values()) {
+            if (roles.contains(role)) {
+                pools.add(board.serving().registry().pool(call.service(), role));
+            }
+        }
+        return isLargeSite(board)
+                ? UpstreamDraw.of(pools, call.parameters().request(), now, MAX_EXAMINED)
+                : UpstreamDraw.all(pools);
     }
 
     /**
@@ -132,14 +144,8 @@
      * @return a number from 0 to 1 that depends on both names alone
      */
     static double tieBreak(final Call call, final UpstreamName upstream) {
-        final int hash = Hashing.murmur3_32()
-                .newHasher()
-                .putUnencodedChars(call.parameters().request().value())
-                .putUnencodedChars(upstream.value())
-                .hash()
-                .asInt();
-        return (hash & Integer.MAX_VALUE) / (double) Integer.MAX_VALUE;
+        final long hash = UpstreamDraw.hash(
+                call.parameters().request().value().hashCode(), upstream.value().hashCode());
+        return (hash >>> 1) / (double) Long.MAX_VALUE;
     }
-
-    private record Candidate(RegisteredUpstream upstream, double cost) {}
 }
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -67,10 +67,9 @@
             case Event.LoadReportRequested() -> scheduleBroadcast(board, section, now);
             case Event.TimerFired(TimerKey.LoadBroadcast()) -> broadcast(board, now);
             case Event.PeerLoadReported(Incarnation sender, PeerMessage.SiteLoad load) ->
-                Outcome.of(new UpstreamLoadSection(
-                        section.loads(),
-                        section.peers().plus(sender.instance(), new PeerLoad(now, load.uses())),
-                        section.broadcastDue()));
+                Outcome.of(section.withoutReportsUntil(
+                                now.minus(board.serving().site().peerTimeout()))
+                        .withReport(sender.instance(), new PeerLoad(now, load.uses())));
             case Event.StoreRead(var content, long revision, Instant requestedAt) ->
                 Outcome.of(withoutRemoved(board, section));
             case Event.StoreChanged(var changes, long revision) -> Outcome.of(withoutRemoved(board, section));
@@ -87,13 +86,13 @@
                 loads = loads.minus(entry.getKey());
             }
         }
-        PMap<InstanceName, PeerLoad> peers = section.peers();
+        UpstreamLoadSection next = section.withLoads(loads);
         for (final InstanceName instance : section.peers().keySet()) {
             if (!board.serving().site().present().containsKey(instance)) {
-                peers = peers.minus(instance);
+                next = next.withoutReport(instance);
             }
         }
-        return new UpstreamLoadSection(loads, peers, section.broadcastDue());
+        return next;
     }
 
     /** Schedules a load broadcast after a short delay, so that changes until then are sent together. */
@@ -105,7 +104,7 @@
         }
         final OutcomeBuilder builder = new OutcomeBuilder();
         builder.add(new Effect.StartTimer(new TimerKey.LoadBroadcast(), due));
-        return builder.outcome(new UpstreamLoadSection(section.loads(), section.peers(), due));
+        return builder.outcome(section.withBroadcastDue(due));
     }
 
     private static Outcome<UpstreamLoadSection> broadcast(final Blackboard board, final Instant now) {
@@ -127,7 +126,7 @@
         reportReceivers(board, now).forEach(member -> builder.add(new Effect.SendToPeer(member, message)));
         final Instant due = now.plus(SiteSection.BROADCAST_INTERVAL);
         builder.add(new Effect.StartTimer(new TimerKey.LoadBroadcast(), due));
-        return builder.outcome(new UpstreamLoadSection(section.loads(), section.peers(), due));
+        return builder.outcome(section.withBroadcastDue(due));
     }
 
     /** Lists the receivers of a report; a relay sends its own report to itself and passes it on with the others. */
@@ -218,6 +217,6 @@
 
     private static UpstreamLoadSection with(
             final UpstreamLoadSection section, final UpstreamName name, final Load load) {
-        return new UpstreamLoadSection(section.loads().plus(name, load), section.peers(), section.broadcastDue());
+        return section.withLoads(section.loads().plus(name, load));
     }
 }
--- a/src/main/java/org/lacewingstep/domain/UpstreamUse.java
+++ b/src/main/java/org/lacewingstep/domain/UpstreamUse.java
@@ -40,6 +40,16 @@
         return new UpstreamUse(requests + other.requests, tokens + other.tokens, arrivals + other.arrivals);
     }
 
+    /**
+     * Subtracts a use that is part of this one.
+     *
+     * @param part the use to subtract, not null
+     * @return the rest, never null
+     */
+    public UpstreamUse minus(final UpstreamUse part) {
+        return new UpstreamUse(requests - part.requests, tokens - part.tokens, arrivals - part.arrivals);
+    }
+
     /**
      * Subtracts one request; neither number becomes negative.
      *
