Start an instance without the command line library

Parsing the arguments of join loaded 147 classes of picocli, which no archive of classes holds as they are of an old class file version, and reflected on all commands. The arguments that the deploy file uses are now parsed directly; everything else is left to the library as before.

--- a/src/main/java/org/lacewingstep/command/JoinCommand.java
+++ b/src/main/java/org/lacewingstep/command/JoinCommand.java
@@ -17,20 +17,15 @@
 
     @Option(
             names = "--metrics-port",
-            defaultValue = "9464",
+            defaultValue = JoinArguments.DEFAULT_METRICS_PORT,
             description = "port of metrics and state dump (default: ${DEFAULT-VALUE})")
     private int metricsPort;
 
-    @Option(names = "--log-level", defaultValue = "info", description = "lowest level logged")
+    @Option(names = "--log-level", defaultValue = JoinArguments.DEFAULT_LOG_LEVEL, description = "lowest level logged")
     private String logLevel;
 
     @Override
     public Integer call() throws Exception {
-        LogSetup.configureLimited(logLevel);
-        try (PlatformProcess process = new PlatformProcess(settings, metricsPort)) {
-            process.start();
-            process.awaitExitAllowed();
-        }
-        return 0;
+        return new JoinArguments(settings, metricsPort, logLevel).call();
     }
 }
--- a/src/main/java/org/lacewingstep/command/Main.java
+++ b/src/main/java/org/lacewingstep/command/Main.java
@@ -1,5 +1,11 @@
 package org.lacewingstep.command;
 
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.function.Function;
+
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
 import picocli.CommandLine;
@@ -36,6 +42,9 @@
     /** The command whose process reloads its settings. */
     static final String JOIN_COMMAND = "join";
 
+    /** The command that the build runs to archive the loaded classes. */
+    static final String REHEARSE_COMMAND = "rehearse";
+
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_INVALID = 2;
 
@@ -63,21 +72,39 @@
      * @return the exit code: 0 success, 1 failure, 2 invalid input
      */
     public static int run(final String... arguments) {
+        return instanceCommand(arguments).map(Main::runInstance).orElseGet(() -> runParsed(arguments));
+    }
+
+    /** Returns the command of an instance if it can be run without the command line library. */
+    private static Optional<Callable<Integer>> instanceCommand(final String... arguments) {
+        return List.of(arguments).equals(List.of(REHEARSE_COMMAND))
+                ? Optional.of(new RehearseCommand())
+                : JoinArguments.parse(arguments).map(Function.identity());
+    }
+
+    private static int runInstance(final Callable<Integer> command) {
+        try {
+            return command.call();
+        } catch (final Exception failure) {
+            return printError(new PrintWriter(System.err, true), failure);
+        }
+    }
+
+    private static int runParsed(final String... arguments) {
         LogSetup.configure(false, "warn");
         return new CommandLine(new Main())
-                .setExecutionExceptionHandler((failure, line, parsed) -> printError(line, failure))
+                .setExecutionExceptionHandler((failure, line, parsed) -> printError(line.getErr(), failure))
                 .execute(arguments);
     }
 
-    private static int printError(final CommandLine line, final Exception failure) {
+    private static int printError(final PrintWriter output, final Exception failure) {
         if (!(failure instanceof RouterException routerException)) {
-            line.getErr().println("error: " + failure);
+            output.println("error: " + failure);
             return EXIT_FAILED;
         }
-        line.getErr()
-                .println("error " + routerException.code() + " at " + routerException.step() + " with "
-                        + routerException.subject() + ":");
-        line.getErr().println(routerException.getMessage());
+        output.println("error " + routerException.code() + " at " + routerException.step() + " with "
+                + routerException.subject() + ":");
+        output.println(routerException.getMessage());
         final boolean invalid = routerException.code() == ErrorCode.SETTINGS_INVALID
                 || routerException.code() == ErrorCode.CONFIGURATION_INVALID;
         return invalid ? EXIT_INVALID : EXIT_FAILED;
--- a/src/main/java/org/lacewingstep/command/RehearseCommand.java
+++ b/src/main/java/org/lacewingstep/command/RehearseCommand.java
@@ -12,7 +12,7 @@
 
 /** Starts an instance, serves one call and stops, so that the build can archive the loaded classes. */
 @Command(
-        name = "rehearse",
+        name = Main.REHEARSE_COMMAND,
         mixinStandardHelpOptions = true,
         description =
                 "Starts an instance on loopback, serves one call and stops; the build archives the loaded classes.")
