Pass events of a platform to the controllers of its sections alone

Each event went through all 18 controllers, of which seven write sections of instances that read their configuration from etcd and ignore every event of a platform. Each of them links its switch at its first event.

--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -9,8 +9,10 @@
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.Effect;
 import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.LifecycleSection;
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.Section;
+import org.lacewingstep.blackboard.ServingSection;
 import org.lacewingstep.blackboard.Step;
 
 /** Passes an event, and every event that results, to all controllers. */
@@ -36,6 +38,12 @@
             new PromptController(),
             new CallController());
 
+    /** The controllers of an instance on a platform, to whose other controllers no event means anything. */
+    static final List<Controller<? extends Section>> SITE_CONTROLLERS = CONTROLLERS.stream()
+            .filter(controller -> ServingSection.class.isAssignableFrom(controller.section())
+                    || controller.section() == LifecycleSection.class)
+            .toList();
+
     private BlackboardStepper() {}
 
     /**
@@ -51,9 +59,13 @@
         final List<Effect> effects = new ArrayList<>();
         pending.add(event);
         Blackboard current = board;
+        final List<Controller<? extends Section>> controllers = event instanceof Event.SiteConfigured
+                        || board.serving().site().policy().isPresent()
+                ? SITE_CONTROLLERS
+                : CONTROLLERS;
         while (!pending.isEmpty()) {
             final Event next = pending.poll();
-            for (final Controller<? extends Section> controller : CONTROLLERS) {
+            for (final Controller<? extends Section> controller : controllers) {
                 final Outcome<? extends Section> outcome = controller.step(current, next, now);
                 current = current.with(outcome.section());
                 pending.addAll(outcome.events());
--- a/src/test/java/org/lacewingstep/controller/ArchitectureTest.java
+++ b/src/test/java/org/lacewingstep/controller/ArchitectureTest.java
@@ -7,7 +7,9 @@
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import org.junit.jupiter.api.Test;
+import org.lacewingstep.blackboard.LifecycleSection;
 import org.lacewingstep.blackboard.Section;
+import org.lacewingstep.blackboard.ServingSection;
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
@@ -30,6 +32,15 @@
                 .containsExactlyInAnyOrder(leafTypes(Section.class).toArray(Class[]::new));
     }
 
+    @Test
+    void eventsOfAPlatformReachTheWritersOfItsSectionsAlone() {
+        assertThat(BlackboardStepper.SITE_CONTROLLERS)
+                .extracting(Controller::section)
+                .containsExactlyInAnyOrder(
+                        Stream.concat(Stream.of(LifecycleSection.class), leafTypes(ServingSection.class))
+                                .toArray(Class[]::new));
+    }
+
     private static Stream<Class<?>> leafTypes(final Class<?> type) {
         return type.isSealed()
                 ? Stream.of(type.getPermittedSubclasses()).flatMap(ArchitectureTest::leafTypes)
