Count control steps and their time by the kind of event

Where the processor time of an instance goes was not visible: one timer covered all control steps. Each kind of event, timer and message now has a counter of steps and one of nanoseconds, process_processor_ms shows the processor time of the process, and the line logged at the start gives it at that time.

--- a/src/main/java/org/lacewingstep/command/PlatformProcess.java
+++ b/src/main/java/org/lacewingstep/command/PlatformProcess.java
@@ -146,6 +146,7 @@
         metrics.gauge(
                 "upstreams.paused",
                 () -> () -> control.board().serving().notices().pausedUpstreams(clock.now()));
+        metrics.gauge("process.processor_ms", () -> PlatformProcess::processorMillis);
         dispatcher = new PlatformEffectDispatcher(
                 openCalls,
                 new PlatformStoreAdapter(client, settings.storeAddress(), clock::now, control::post, execController),
@@ -165,9 +166,19 @@
                 .addKeyValue("step", "start")
                 .addKeyValue("instance", settings.policy().instance())
                 .addKeyValue("first_start", settings.firstStart())
+                .addKeyValue("processor_ms", processorMillis())
                 .log("started for callers at {}", settings.callerAddress());
     }
 
+    /** Returns the processor time of this process since its start, -1 if the system does not report it. */
+    private static long processorMillis() {
+        return ProcessHandle.current()
+                .info()
+                .totalCpuDuration()
+                .map(Duration::toMillis)
+                .orElse(-1L);
+    }
+
     private int maxBodyBytes() {
         return control.board().serving().routing().table().limits().bodyBytes();
     }
--- a/src/main/java/org/lacewingstep/control/ControlThread.java
+++ b/src/main/java/org/lacewingstep/control/ControlThread.java
@@ -34,6 +34,7 @@
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final EffectHandler handler;
     private final Timer stepTimer;
+    private final StepTimes stepTimes;
     private final Thread thread;
     private final TimerQueue timers = new TimerQueue();
 
@@ -57,6 +58,7 @@
         this.clock = clock;
         this.handler = handler;
         this.stepTimer = metrics.timer("control.step");
+        this.stepTimes = new StepTimes(metrics);
         this.thread = new Thread(this::run, "control");
         metrics.gauge("control.queue", () -> events::size);
     }
@@ -140,7 +142,8 @@
 
     /** Applies the step of an event and returns whether it succeeded. */
     private boolean applyStep(final Event event) {
-        try (Timer.Context ignored = stepTimer.time()) {
+        final long start = System.nanoTime();
+        try {
             final Step step = BlackboardStepper.step(board, event, clock.now());
             board = step.board();
             step.effects().forEach(this::dispatch);
@@ -148,6 +151,10 @@
         } catch (final RuntimeException | Error failure) {
             LOGGER.error("step failed, the blackboard is unchanged; event {}", event, failure);
             return false;
+        } finally {
+            final long elapsed = System.nanoTime() - start;
+            stepTimer.update(elapsed, TimeUnit.NANOSECONDS);
+            stepTimes.add(event, elapsed);
         }
     }
 
