Check a platform's routing document before it is sent

Cause: operators learn of a rejected, shadowed or contradictory document only from the instances, after it is in force.

--- a/src/main/java/org/lacewingstep/command/Main.java
+++ b/src/main/java/org/lacewingstep/command/Main.java
@@ -14,6 +14,7 @@
         subcommands = {
             ApplyCommand.class,
             CheckCommand.class,
+            CheckConfigCommand.class,
             DomainCommand.class,
             JoinCommand.class,
             RehearseCommand.class,
@@ -26,6 +27,7 @@
             "",
             "Examples:",
             "  lacewingstep check settings.toml",
+            "  lacewingstep check-config new.json --against present.json",
             "  lacewingstep apply --store http://10.0.0.1:2379 --inventory inventory.toml --rules rules.toml",
             "  lacewingstep serve --settings settings.toml",
             "  lacewingstep team grant-key --store http://10.0.0.1:2379 weavers",
--- a/src/standin/java/org/lacewingstep/standin/PlatformStoreStandIn.java
+++ b/src/standin/java/org/lacewingstep/standin/PlatformStoreStandIn.java
@@ -23,6 +23,7 @@
 /** Simulates the store of the platform: items, watches, transactions, and leases that never expire. */
 public final class PlatformStoreStandIn implements AutoCloseable {
     private static final int GONE = 410;
+    private static final int NOT_FOUND = 404;
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int OK = 200;
     private static final int PRECONDITION_FAILED = 412;
@@ -148,6 +149,7 @@
             return;
         }
         switch (path) {
+            case "/kv-key" -> readItem(exchange, query.get("key"));
             case "/kv-range" -> respond(exchange, OK, range());
             case "/kv-watch" -> watch(exchange, query);
             case "/kv-txn" -> transact(exchange, MAPPER.readTree(body));
@@ -156,6 +158,11 @@
         }
     }
 
+    private synchronized void readItem(final HttpExchange exchange, final String key) throws IOException {
+        final ObjectNode item = items.get(key);
+        respond(exchange, item == null ? NOT_FOUND : OK, item == null ? MAPPER.createObjectNode() : item);
+    }
+
     private synchronized ObjectNode range() {
         final ObjectNode response =
                 MAPPER.createObjectNode().put("asOf", revision).put("hasMore", false);
