Order the queue by urgency and pass it on to engines

Cause: the priority of routes and teams was not decoded; the queue ordered by time alone and engines took the newest call for the least urgent. Change: Urgency of routes and teams, a team's before its route's; QueueOrder ranks by urgency, then by what can be on time, then by team, then by age, and raises a call by one rank for each latency target it has waited; engines get Request-Priority where the calls of a service differ in urgency. Measured: QueueOrderTest, PlatformProtocolTest, PlatformStoreCodecTest, OuterNamesTest, CallControllerTest, SharedLoadTest, ArchitectureTest pass.

--- a/src/main/java/org/lacewingstep/blackboard/CallInstruction.java
+++ b/src/main/java/org/lacewingstep/blackboard/CallInstruction.java
@@ -6,6 +6,7 @@
 
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.domain.Urgency;
 import org.lacewingstep.error.ErrorCode;
 
 /** An instruction to the traffic threads about the next action for a call. */
@@ -36,6 +37,7 @@
      *     null
      * @param streams whether the response is a stream of events
      * @param connectionLimit maximum number of connections of this instance to one upstream
+     * @param urgency the urgency by which the upstream orders its work, empty if calls of the service do not differ
      */
     record Send(
             int attempt,
@@ -47,7 +49,8 @@
             Duration responseTimeout,
             Duration pauseTimeout,
             boolean streams,
-            int connectionLimit)
+            int connectionLimit,
+            Optional<Urgency> urgency)
             implements CallInstruction {}
 
     /** Sends the upstream's failure response to the caller. */
--- a/src/main/java/org/lacewingstep/blackboard/CallSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/CallSection.java
@@ -11,6 +11,7 @@
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.TokenDemand;
 import org.lacewingstep.domain.UpstreamName;
+import org.lacewingstep.domain.Urgency;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
@@ -31,6 +32,7 @@
      * @param service the service that the call is sent to, not null
      * @param team the caller's team, empty on an open route
      * @param teamRegions the regions that the team allowed when the call was admitted, empty for all, not null
+     * @param urgency how urgent the call is, not null
      * @param units number of units debited from the team
      * @param deadline latest time for the complete response, not null
      * @param attempts number of attempts made so far
@@ -45,6 +47,7 @@
             ServiceName service,
             Optional<TeamName> team,
             Set<RegionName> teamRegions,
+            Urgency urgency,
             long units,
             Instant deadline,
             int attempts,
@@ -91,6 +94,7 @@
                     service,
                     team,
                     teamRegions,
+                    urgency,
                     units,
                     deadline,
                     nextAttempts,
--- a/src/main/java/org/lacewingstep/controller/CallAdmission.java
+++ b/src/main/java/org/lacewingstep/controller/CallAdmission.java
@@ -21,6 +21,7 @@
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.TokenDemand;
+import org.lacewingstep.domain.Urgency;
 import org.lacewingstep.error.ErrorCode;
 
 /** Decides whether a call is admitted, by its route, its key and the rate limit of its team. */
@@ -118,7 +119,13 @@
                     : notReady("the routing table may be out of date");
         }
         if (route.get().open()) {
-            return new AdmissionDecision.Admitted(createCall(parameters, route.get(), Optional.empty(), Set.of(), 0));
+            return new AdmissionDecision.Admitted(createCall(
+                    parameters,
+                    route.get(),
+                    Optional.empty(),
+                    Set.of(),
+                    route.get().urgency(),
+                    0));
         }
         if (!confirmed) {
             return notReady("keys may have been withdrawn");
@@ -171,6 +178,7 @@
                 route,
                 Optional.of(team),
                 allowance == null ? Set.of() : allowance.allowedRegions(),
+                allowance == null ? route.urgency() : allowance.urgency().orElse(route.urgency()),
                 units));
     }
 
@@ -179,6 +187,7 @@
             final Route route,
             final Optional<TeamName> team,
             final Set<RegionName> teamRegions,
+            final Urgency urgency,
             final long units) {
         final Duration limit =
                 parameters.waitLimit().compareTo(route.timeLimit()) < 0 ? parameters.waitLimit() : route.timeLimit();
@@ -189,6 +198,7 @@
                 route.chooseService(parameters.request()),
                 team,
                 teamRegions,
+                urgency,
                 units,
                 deadline,
                 0,
--- a/src/main/java/org/lacewingstep/controller/CallController.java
+++ b/src/main/java/org/lacewingstep/controller/CallController.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.lacewingstep.blackboard.Blackboard;
@@ -23,6 +25,7 @@
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.ServiceName;
+import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.placement.QueueOrder;
 
@@ -113,19 +116,31 @@
 
     private static Outcome<CallSection> serveQueue(
             final Blackboard board, final ServiceName service, final Instant now) {
-        final List<QueueOrder.QueuedCall> queued = board.serving().calls().calls().values().stream()
-                .filter(call -> call.phase() instanceof CallPhase.Queued
-                        && call.service().equals(service))
-                .map(call -> new QueueOrder.QueuedCall(
+        final List<QueueOrder.QueuedCall> queued = new ArrayList<>();
+        final Map<Optional<TeamName>, Integer> running = new HashMap<>();
+        for (final Call call : board.serving().calls().calls().values()) {
+            if (!call.service().equals(service)) {
+                continue;
+            }
+            if (call.phase() instanceof CallPhase.Queued) {
+                queued.add(new QueueOrder.QueuedCall(
                         call.parameters().request(),
                         call.parameters().receivedAt(),
-                        CallPlacement.canMeetLatencyTarget(call, now)))
-                .toList();
+                        CallPlacement.canMeetLatencyTarget(call, now),
+                        call.urgency(),
+                        call.route().latencyTarget(),
+                        call.team()));
+            } else {
+                running.merge(call.team(), 1, Integer::sum);
+            }
+        }
         if (queued.isEmpty()) {
             return unchanged(board);
         }
         return new Outcome<>(
-                board.serving().calls(), List.of(), List.of(new Event.QueuedCallsDue(QueueOrder.order(queued))));
+                board.serving().calls(),
+                List.of(),
+                List.of(new Event.QueuedCallsDue(QueueOrder.order(queued, running, now))));
     }
 
     /** Places the first call; the next one follows in an event of its own, after the loads include this call. */
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -308,6 +308,7 @@
                         prefill.map(chosen -> chosen.name().value()).orElse("none")),
                 Input.of("attempt", attempt),
                 Input.of("team", call.team().map(Object::toString).orElse("none")),
+                Input.of("urgency", call.urgency().rank()),
                 Input.of("version", board.serving().routing().table().version()),
                 Input.of("running", board.serving().use(upstream.name(), now)),
                 Input.of("left_ms", Duration.between(now, call.deadline()).toMillis()))));
@@ -351,7 +352,10 @@
                 retryTimeout(call, attempt, responseTimeout(board, call, upstream, now), now),
                 retryTimeout(call, attempt, SILENCE_TIMEOUT, now),
                 call.route().kind() instanceof RouteKind.EventStream,
-                ReservationRequest.connectionLimit(board, call));
+                ReservationRequest.connectionLimit(board, call),
+                board.serving().routing().table().ranked().contains(call.service())
+                        ? Optional.of(call.urgency())
+                        : Optional.empty());
     }
 
     private static Optional<RegisteredUpstream> choosePrefill(
--- a/src/main/java/org/lacewingstep/domain/Route.java
+++ b/src/main/java/org/lacewingstep/domain/Route.java
@@ -20,6 +20,7 @@
  * @param open whether callers may omit the key
  * @param targets the services that share the requests of the route, at least one
  * @param allowedRegions the regions in which requests of the route may run, empty for all regions
+ * @param urgency how urgent requests of the route are unless their team has an urgency of its own, not null
  */
 public record Route(
         String name,
@@ -31,7 +32,8 @@
         int attemptLimit,
         boolean open,
         List<RouteTarget> targets,
-        Set<RegionName> allowedRegions) {
+        Set<RegionName> allowedRegions,
+        Urgency urgency) {
     private static final int HASH_RANGE = 1 << 20;
 
     /** Validates the components and copies the collections. */
@@ -46,6 +48,46 @@
         targets = List.copyOf(targets);
         Validate.isTrue(!targets.isEmpty(), "targets", "one or more");
         allowedRegions = Set.copyOf(allowedRegions);
+        Validate.notNull(urgency, "urgency");
+    }
+
+    /**
+     * Creates a route without an urgency of its own.
+     *
+     * @param name the name of the route, not blank
+     * @param host the host name in the requests, not null
+     * @param pathPrefix the prefix of the path, with a slash at both ends
+     * @param kind the retry rules and the response form, not null
+     * @param timeLimit longest time from the arrival of a request to its response, positive
+     * @param latencyTarget time within which a response counts as on time, positive
+     * @param attemptLimit largest number of upstreams to which a request is sent, one or more
+     * @param open whether callers may omit the key
+     * @param targets the services that share the requests of the route, at least one
+     * @param allowedRegions the regions in which requests of the route may run, empty for all regions
+     */
+    public Route(
+            final String name,
+            final String host,
+            final String pathPrefix,
+            final RouteKind kind,
+            final Duration timeLimit,
+            final Duration latencyTarget,
+            final int attemptLimit,
+            final boolean open,
+            final List<RouteTarget> targets,
+            final Set<RegionName> allowedRegions) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                kind,
+                timeLimit,
+                latencyTarget,
+                attemptLimit,
+                open,
+                targets,
+                allowedRegions,
+                Urgency.DEFAULT);
     }
 
     /**
--- a/src/main/java/org/lacewingstep/domain/RoutingTable.java
+++ b/src/main/java/org/lacewingstep/domain/RoutingTable.java
@@ -1,10 +1,13 @@
 package org.lacewingstep.domain;
 
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 import org.lacewingstep.error.Validate;
@@ -18,6 +21,7 @@
  * @param teams the teams by name, not null
  * @param keys the team of each key, by the digest of the key, not null
  * @param limits the limits of requests from callers, not null
+ * @param ranked the services whose calls differ in urgency, not null
  */
 public record RoutingTable(
         long version,
@@ -25,7 +29,8 @@
         Map<ServiceName, ServiceLimits> services,
         Map<TeamName, TeamAllowance> teams,
         Map<KeyDigest, TeamName> keys,
-        CallerLimits limits) {
+        CallerLimits limits,
+        Set<ServiceName> ranked) {
     /** The empty table that is in force until the first one is read. */
     public static final RoutingTable EMPTY =
             new RoutingTable(-1, Map.of(), Map.of(), Map.of(), Map.of(), CallerLimits.DEFAULT);
@@ -37,6 +42,53 @@
         teams = Map.copyOf(teams);
         keys = Map.copyOf(keys);
         Validate.notNull(limits, "limits");
+        ranked = Set.copyOf(ranked);
+    }
+
+    /**
+     * Creates a table and finds the services whose calls differ in urgency.
+     *
+     * @param version the version number; a newer table has a higher one
+     * @param routes the routes by host in lower case, longest path prefix first, not null
+     * @param services the services by name, not null
+     * @param teams the teams by name, not null
+     * @param keys the team of each key, by the digest of the key, not null
+     * @param limits the limits of requests from callers, not null
+     */
+    public RoutingTable(
+            final long version,
+            final Map<String, List<Route>> routes,
+            final Map<ServiceName, ServiceLimits> services,
+            final Map<TeamName, TeamAllowance> teams,
+            final Map<KeyDigest, TeamName> keys,
+            final CallerLimits limits) {
+        this(version, routes, services, teams, keys, limits, findRanked(routes, teams));
+    }
+
+    private static Set<ServiceName> findRanked(
+            final Map<String, List<Route>> routes, final Map<TeamName, TeamAllowance> teams) {
+        final Set<Urgency> teamUrgencies =
+                teams.values().stream().flatMap(team -> team.urgency().stream()).collect(Collectors.toSet());
+        final boolean routesCount =
+                teams.values().stream().anyMatch(team -> team.urgency().isEmpty());
+        final Map<ServiceName, Set<Urgency>> urgencies = new HashMap<>();
+        for (final List<Route> ofHost : routes.values()) {
+            for (final Route route : ofHost) {
+                for (final RouteTarget target : route.targets()) {
+                    final Set<Urgency> known = urgencies.computeIfAbsent(target.service(), name -> new HashSet<>());
+                    if (routesCount || route.open()) {
+                        known.add(route.urgency());
+                    }
+                    if (!route.open()) {
+                        known.addAll(teamUrgencies);
+                    }
+                }
+            }
+        }
+        return urgencies.entrySet().stream()
+                .filter(entry -> entry.getValue().size() > 1)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     /**
--- a/src/main/java/org/lacewingstep/domain/TeamAllowance.java
+++ b/src/main/java/org/lacewingstep/domain/TeamAllowance.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.domain;
 
+import java.util.Optional;
 import java.util.Set;
 
 import org.lacewingstep.error.Validate;
@@ -13,6 +14,7 @@
  * @param countsTokens whether the units of a request are its tokens; otherwise a request counts as one unit
  * @param plainUnits units of a request that states no number of tokens, zero or more
  * @param allowedRegions the regions in which requests of the team may run, empty for all regions
+ * @param urgency how urgent the requests of the team are on each route, empty for the urgency of the route, not null
  */
 public record TeamAllowance(
         TeamName team,
@@ -20,7 +22,8 @@
         double burst,
         boolean countsTokens,
         long plainUnits,
-        Set<RegionName> allowedRegions) {
+        Set<RegionName> allowedRegions,
+        Optional<Urgency> urgency) {
     /** Validates the components. */
     public TeamAllowance {
         Validate.notNull(team, "team");
@@ -28,6 +31,27 @@
         Validate.isTrue(burst >= 0, "burst", "zero or more");
         Validate.notNegative(plainUnits, "plain units");
         allowedRegions = Set.copyOf(allowedRegions);
+        Validate.notNull(urgency, "urgency");
+    }
+
+    /**
+     * Creates the limits of a team whose requests are as urgent as their routes.
+     *
+     * @param team the team, not null
+     * @param unitsPerSecond the rate in units per second; there is no limit if the rate and the burst are both zero
+     * @param burst the units that the team may spend beyond the rate, zero or more
+     * @param countsTokens whether the units of a request are its tokens; otherwise a request counts as one unit
+     * @param plainUnits units of a request that states no number of tokens, zero or more
+     * @param allowedRegions the regions in which requests of the team may run, empty for all regions
+     */
+    public TeamAllowance(
+            final TeamName team,
+            final double unitsPerSecond,
+            final double burst,
+            final boolean countsTokens,
+            final long plainUnits,
+            final Set<RegionName> allowedRegions) {
+        this(team, unitsPerSecond, burst, countsTokens, plainUnits, allowedRegions, Optional.empty());
     }
 
     /**
--- a/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
@@ -48,6 +48,7 @@
     private static final String NOT_EXECUTED = "Not-Executed";
     private static final String PROMPT_PREFIX = "Prompt-Prefix";
     private static final String REQUEST_ID = "Request-Id";
+    private static final String REQUEST_PRIORITY = "Request-Priority";
     private static final String RESPONSE_SEAL = "Response-Seal";
     private static final String STAGE = "Stage";
     private static final String TENANT = "Tenant";
@@ -78,7 +79,7 @@
             LAST_EVENT_ID,
             KV_SOURCE,
             "Pin-Ms",
-            "Request-Priority",
+            REQUEST_PRIORITY,
             STAGE,
             TENANT);
 
@@ -256,6 +257,7 @@
                 Math.max(1, Duration.between(now, instruction.deadline()).toMillis());
         headers.set(DEADLINE, Long.toString(remainingMillis));
         instruction.team().ifPresent(team -> headers.set(TENANT, team.value()));
+        instruction.urgency().ifPresent(urgency -> headers.set(REQUEST_PRIORITY, Integer.toString(urgency.rank())));
         return headers;
     }
 
--- a/src/main/java/org/lacewingstep/platform/RoutingDocumentCodec.java
+++ b/src/main/java/org/lacewingstep/platform/RoutingDocumentCodec.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -20,6 +21,7 @@
 import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.domain.Urgency;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
 
@@ -72,7 +74,8 @@
                 (int) Math.max(1, node.path("maxAttempts").asLong(1)),
                 node.path("anonymous").asBoolean(),
                 targets(node),
-                regions(node));
+                regions(node),
+                urgency(node).orElse(Urgency.DEFAULT));
     }
 
     private static RouteKind kind(final JsonNode node) {
@@ -121,7 +124,13 @@
                 node.path("burst").asDouble(),
                 "token_stream".equals(node.path("unit").asText()),
                 node.path("plainTokens").asLong(),
-                regions(node));
+                regions(node),
+                urgency(node));
+    }
+
+    private static Optional<Urgency> urgency(final JsonNode node) {
+        final JsonNode value = node.path("priority");
+        return value.isNumber() ? Optional.of(Urgency.nearest(value.asLong())) : Optional.empty();
     }
 
     private static CallerLimits limits(final JsonNode node) {
--- a/src/test/java/org/lacewingstep/etcd/OuterNamesTest.java
+++ b/src/test/java/org/lacewingstep/etcd/OuterNamesTest.java
@@ -32,6 +32,7 @@
 import org.lacewingstep.domain.ServiceSelector;
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.domain.Urgency;
 import org.pcollections.HashTreePSet;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -76,6 +77,7 @@
                 "countsTokens",
                 "plainUnits",
                 "homes",
+                "urgency",
                 "limited");
     }
 
@@ -90,6 +92,7 @@
                         SERVICE,
                         Optional.empty(),
                         Set.of(),
+                        Urgency.DEFAULT,
                         1,
                         Instant.EPOCH,
                         0,
@@ -102,6 +105,7 @@
                 "service",
                 "team",
                 "teamRegions",
+                "urgency",
                 "units",
                 "deadline",
                 "attempts",
@@ -174,7 +178,8 @@
                 "attemptLimit",
                 "open",
                 "targets",
-                "homes");
+                "homes",
+                "urgency");
     }
 
     @Test
--- a/src/test/java/org/lacewingstep/platform/PlatformProtocolTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformProtocolTest.java
@@ -32,6 +32,7 @@
 import org.lacewingstep.domain.TokenDemand;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
+import org.lacewingstep.domain.Urgency;
 import org.lacewingstep.traffic.CallProtocol.KvCacheReference;
 import org.lacewingstep.traffic.CallProtocol.ResponseKind;
 import org.lacewingstep.traffic.CallProtocol.RouterRequest;
@@ -107,6 +108,8 @@
                         "9",
                         "Stage",
                         "prefill",
+                        "Request-Priority",
+                        "0",
                         "Connection",
                         "X-Hop",
                         "X-Hop",
@@ -119,7 +122,9 @@
                 Optional.empty(),
                 NOW);
 
-        assertThat(headers.names()).containsExactlyInAnyOrder("Expect-Instance", "Deadline-Ms", "Tenant", "X-Kept");
+        assertThat(headers.names())
+                .containsExactlyInAnyOrder("Expect-Instance", "Deadline-Ms", "Tenant", "X-Kept", "Request-Priority");
+        assertThat(headers.get("Request-Priority")).isEqualTo("2");
         assertThat(headers.get("Tenant")).isEqualTo("weavers");
         assertThat(headers.get("Expect-Instance")).isEqualTo("i-1");
     }
@@ -288,6 +293,7 @@
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(1),
                 true,
-                4);
+                4,
+                Optional.of(new Urgency(2)));
     }
 }
