Keep memory free for more urgent calls

Cause: a burst of the least urgent calls filled all memory, and urgent calls that arrived during it waited or were refused like the others. Change: instances report the calls that they queue, and the memory asked for and returned, by service and urgency; a call leaves free what more urgent calls will need until the next report, and what those in queues need.

--- a/src/main/java/org/lacewingstep/blackboard/CallSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/CallSection.java
@@ -1,28 +1,85 @@
 package org.lacewingstep.blackboard;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.Set;
 
+import org.lacewingstep.domain.Demand;
 import org.lacewingstep.domain.RegionName;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Route;
 import org.lacewingstep.domain.ServiceName;
+import org.lacewingstep.domain.ServiceUrgency;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.TokenDemand;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.Urgency;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
 
 /**
  * The open calls that this instance serves by the platform's registry.
  *
  * @param calls the calls by request identifier, not null
+ * @param passages the recent arrivals and ends of calls to services whose calls differ in urgency, oldest first, not
+ *     null
+ * @param demand what the other instances reported of such calls, not null
  */
-public record CallSection(PMap<RequestIdentifier, Call> calls) implements ServingSection {
+public record CallSection(PMap<RequestIdentifier, Call> calls, PVector<Passage> passages, SiteDemand demand)
+        implements ServingSection {
     /** The initial section of a process. */
-    public static final CallSection INITIAL = new CallSection(HashTreePMap.empty());
+    public static final CallSection INITIAL =
+            new CallSection(HashTreePMap.empty(), TreePVector.empty(), SiteDemand.NONE);
+
+    /** Period over which arrivals and ends are counted; short enough to follow a burst. */
+    public static final Duration PASSAGE_PERIOD = Duration.ofSeconds(2);
+
+    /**
+     * The arrival of a call, or the end of its use of memory.
+     *
+     * @param at when it happened, not null
+     * @param urgency the service and the urgency of the call, not null
+     * @param demand the memory that the call asked for or returned, not null
+     */
+    public record Passage(Instant at, ServiceUrgency urgency, Demand demand) {}
+
+    /**
+     * Replaces the calls.
+     *
+     * @param next the calls by request identifier, not null
+     * @return the updated section, never null
+     */
+    public CallSection withCalls(final PMap<RequestIdentifier, Call> next) {
+        return new CallSection(next, passages, demand);
+    }
+
+    /**
+     * Adds a passage and drops those whose period is over; a clock that was set back drops none.
+     *
+     * @param passage the passage, not null
+     * @return the updated section, never null
+     */
+    public CallSection withPassage(final Passage passage) {
+        final Instant oldest = passage.at().minus(PASSAGE_PERIOD);
+        PVector<Passage> next = passages;
+        while (!next.isEmpty() && next.getFirst().at().isBefore(oldest)) {
+            next = next.minus(0);
+        }
+        return new CallSection(calls, next.plus(passage), demand);
+    }
+
+    /**
+     * Replaces the demand of the other instances.
+     *
+     * @param next the demand, not null
+     * @return the updated section, never null
+     */
+    public CallSection withDemand(final SiteDemand next) {
+        return new CallSection(calls, passages, next);
+    }
 
     /**
      * A call whose response is not complete.
--- a/src/main/java/org/lacewingstep/controller/CallController.java
+++ b/src/main/java/org/lacewingstep/controller/CallController.java
@@ -21,13 +21,19 @@
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.LifecycleSection.Stage;
 import org.lacewingstep.blackboard.Outcome;
+import org.lacewingstep.blackboard.PeerMessage;
+import org.lacewingstep.blackboard.SiteDemand;
 import org.lacewingstep.blackboard.TimerKey;
 import org.lacewingstep.domain.AttemptIdentifier;
+import org.lacewingstep.domain.Incarnation;
+import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
+import org.lacewingstep.domain.UpstreamRole;
 import org.lacewingstep.placement.QueueOrder;
+import org.pcollections.TreePVector;
 
 /** Manages calls from arrival to completion: admission, placement at upstreams, retries and deadlines. */
 public final class CallController implements Controller<CallSection> {
@@ -71,8 +77,17 @@
             case Event.TimerFired(TimerKey.CallQueue(ServiceName service)) -> serveQueue(board, service, now);
             case Event.UpstreamReleased(UpstreamName name, long tokens, var result) ->
                 UpstreamChoice.findRegistered(board, name)
-                        .map(upstream -> serveQueue(board, upstream.service(), now))
+                        .map(upstream -> release(board, upstream, tokens, result, now))
                         .orElseGet(() -> unchanged(board));
+            case Event.PeerLoadReported(Incarnation sender, PeerMessage.SiteLoad load) ->
+                Outcome.of(board.serving()
+                        .calls()
+                        .withDemand(board.serving()
+                                .calls()
+                                .demand()
+                                .withReport(sender.instance(), new SiteDemand.DemandReport(now, load.queued()))));
+            case Event.TimerFired(TimerKey.LoadBroadcast()) -> dropSilentPeers(board, now);
+            case Event.ClockJumped jumped -> Outcome.of(withoutPassages(board));
             case Event.QueuedCallsDue(List<RequestIdentifier> requests) -> placeFirst(board, requests, now);
             default -> unchanged(board);
         };
@@ -109,11 +124,46 @@
             case CallAdmission.AdmissionDecision.Admitted(Call call) -> {
                 final Instant queueDeadline = now.plus(CallPlacement.queueWaitLimit(call, now));
                 builder.add(new Effect.StartTimer(new TimerKey.CallDeadline(parameters.request()), call.deadline()));
-                yield CallPlacement.place(board, call.withPhase(new CallPhase.Queued(queueDeadline)), builder, now);
+                final Outcome<CallSection> placed =
+                        CallPlacement.place(board, call.withPhase(new CallPhase.Queued(queueDeadline)), builder, now);
+                yield new Outcome<>(
+                        DemandReports.withArrival(board, placed.section(), call, now),
+                        placed.effects(),
+                        placed.events());
             }
         };
     }
 
+    /** Records memory that was returned; an upstream that refused a call had given it none. */
+    private static Outcome<CallSection> release(
+            final Blackboard board,
+            final RegisteredUpstream upstream,
+            final long tokens,
+            final Optional<CallResult> result,
+            final Instant now) {
+        final Outcome<CallSection> served = serveQueue(board, upstream.service(), now);
+        final boolean held = !(result.orElse(null) instanceof CallResult.NotRun);
+        return upstream.role() == UpstreamRole.DECODE && held
+                ? new Outcome<>(
+                        DemandReports.withRelease(board, served.section(), upstream.service(), tokens, now),
+                        served.effects(),
+                        served.events())
+                : served;
+    }
+
+    /** Drops the demand of instances that are cut off or have ended, with whose calls nothing competes any more. */
+    private static Outcome<CallSection> dropSilentPeers(final Blackboard board, final Instant now) {
+        final CallSection section = board.serving().calls();
+        final SiteDemand demand = section.demand()
+                .withoutOlderThan(now.minus(board.serving().site().peerTimeout()));
+        return Outcome.of(demand == section.demand() ? section : section.withDemand(demand));
+    }
+
+    private static CallSection withoutPassages(final Blackboard board) {
+        final CallSection section = board.serving().calls();
+        return new CallSection(section.calls(), TreePVector.empty(), SiteDemand.NONE);
+    }
+
     private static Outcome<CallSection> serveQueue(
             final Blackboard board, final ServiceName service, final Instant now) {
         final List<QueueOrder.QueuedCall> queued = new ArrayList<>();
@@ -126,7 +176,7 @@
                 queued.add(new QueueOrder.QueuedCall(
                         call.parameters().request(),
                         call.parameters().receivedAt(),
-                        CallPlacement.canMeetLatencyTarget(call, now),
+                        CallTiming.canMeetLatencyTarget(call, now),
                         call.urgency(),
                         call.route().latencyTarget(),
                         call.team()));
@@ -246,7 +296,7 @@
      * @return the section with the call, never null
      */
     static CallSection with(final CallSection section, final Call call) {
-        return new CallSection(section.calls().plus(call.parameters().request(), call));
+        return section.withCalls(section.calls().plus(call.parameters().request(), call));
     }
 
     /**
@@ -257,6 +307,6 @@
      * @return the section without the call, never null
      */
     static CallSection without(final CallSection section, final Call call) {
-        return new CallSection(section.calls().minus(call.parameters().request()));
+        return section.withCalls(section.calls().minus(call.parameters().request()));
     }
 }
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -33,9 +33,6 @@
     /** Interval at which queued calls search again, for capacity that other instances have released. */
     private static final Duration QUEUE_POLL_INTERVAL = Duration.ofMillis(40);
 
-    /** Fraction of the latency target that a call may wait before it is sent and still be on time. */
-    private static final double ON_TIME_FRACTION = 0.6;
-
     /** Wait for engine capacity beyond the latency target of a stream; about the duration of one response. */
     private static final Duration STREAM_EXTRA_WAIT = Duration.ofSeconds(2);
 
@@ -213,18 +210,6 @@
                 Duration.between(now, call.deadline()));
     }
 
-    /**
-     * Returns whether a call that is sent now can be answered within its latency target.
-     *
-     * @param call the call, not null
-     * @param now the present time, not null
-     * @return true if the response can be on time
-     */
-    static boolean canMeetLatencyTarget(final Call call, final Instant now) {
-        final Duration waited = Duration.between(call.parameters().receivedAt(), now);
-        return waited.toNanos() <= call.route().latencyTarget().toNanos() * ON_TIME_FRACTION;
-    }
-
     private static Outcome<CallSection> queue(
             final Blackboard board, final Call call, final OutcomeBuilder builder, final Instant now) {
         if (!(call.phase() instanceof CallPhase.Queued(Instant until)) || !now.isBefore(until)) {
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/DemandReports.java
@@ -0,0 +1,149 @@
+package org.lacewingstep.controller;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.CallSection;
+import org.lacewingstep.blackboard.CallSection.Call;
+import org.lacewingstep.blackboard.CallSection.CallPhase;
+import org.lacewingstep.blackboard.CallSection.Passage;
+import org.lacewingstep.domain.Demand;
+import org.lacewingstep.domain.ServiceName;
+import org.lacewingstep.domain.ServiceUrgency;
+import org.lacewingstep.domain.Urgency;
+import org.lacewingstep.placement.ServiceDemand;
+
+/** Sums the calls that ask for memory, at this instance for its reports and at all instances for decisions. */
+final class DemandReports {
+    private DemandReports() {}
+
+    /**
+     * Returns whether the calls of a service differ in urgency and compete for memory of its upstreams.
+     *
+     * @param board the blackboard, not null
+     * @param service the service, not null
+     * @return true if demand for the service is counted
+     */
+    static boolean isCounted(final Blackboard board, final ServiceName service) {
+        return board.serving().routing().table().ranked().contains(service) && memoryTokens(board, service) > 0;
+    }
+
+    /**
+     * Returns the memory of one engine of a service.
+     *
+     * @param board the blackboard, not null
+     * @param service the service, not null
+     * @return the memory in tokens, zero if upstreams of the service keep no tokens
+     */
+    static long memoryTokens(final Blackboard board, final ServiceName service) {
+        final var limits = board.serving().routing().table().services().get(service);
+        return limits == null ? 0 : limits.memoryTokens();
+    }
+
+    /**
+     * Records the arrival of a call.
+     *
+     * @param board the blackboard, not null
+     * @param section the section to which the call was added, not null
+     * @param call the call, not null
+     * @param now the present time, not null
+     * @return the updated section, never null
+     */
+    static CallSection withArrival(
+            final Blackboard board, final CallSection section, final Call call, final Instant now) {
+        return isCounted(board, call.service())
+                ? section.withPassage(new Passage(now, key(call), new Demand(0, 0, call.tokens(), 0)))
+                : section;
+    }
+
+    /**
+     * Records that memory was returned.
+     *
+     * @param board the blackboard, not null
+     * @param section the section, not null
+     * @param service the service, not null
+     * @param tokens the memory, in tokens
+     * @param now the present time, not null
+     * @return the updated section, never null
+     */
+    static CallSection withRelease(
+            final Blackboard board,
+            final CallSection section,
+            final ServiceName service,
+            final long tokens,
+            final Instant now) {
+        return isCounted(board, service)
+                ? section.withPassage(
+                        new Passage(now, new ServiceUrgency(service, Urgency.DEFAULT), new Demand(0, 0, 0, tokens)))
+                : section;
+    }
+
+    /**
+     * Sums the demand at this instance.
+     *
+     * @param board the blackboard, not null
+     * @param now the present time, not null
+     * @return the demand by service and urgency, empty if calls of no service differ in urgency, never null
+     */
+    static Map<ServiceUrgency, Demand> own(final Blackboard board, final Instant now) {
+        final Map<ServiceUrgency, Demand> sums = new HashMap<>();
+        if (board.serving().routing().table().ranked().isEmpty()) {
+            return sums;
+        }
+        final CallSection section = board.serving().calls();
+        final Instant oldest = now.minus(CallSection.PASSAGE_PERIOD);
+        for (final Passage passage : section.passages()) {
+            if (!passage.at().isBefore(oldest) && !passage.at().isAfter(now)) {
+                sums.merge(passage.urgency(), passage.demand(), Demand::plus);
+            }
+        }
+        for (final Call call : section.calls().values()) {
+            if (call.phase() instanceof CallPhase.Queued && isCounted(board, call.service())) {
+                sums.merge(key(call), new Demand(1, call.tokens(), 0, 0), Demand::plus);
+            }
+        }
+        return sums;
+    }
+
+    /**
+     * Sums the demand for a service at this and all other instances that report.
+     *
+     * @param board the blackboard, not null
+     * @param service the service, not null
+     * @param now the present time, not null
+     * @return the demand, never null
+     */
+    static ServiceDemand site(final Blackboard board, final ServiceName service, final Instant now) {
+        final Map<Urgency, Demand> sums = new HashMap<>();
+        add(sums, own(board, now), service);
+        add(sums, board.serving().calls().demand().totals(), service);
+        return new ServiceDemand(sums, CallSection.PASSAGE_PERIOD);
+    }
+
+    /**
+     * Returns the age of what other instances have reported.
+     *
+     * @param board the blackboard, not null
+     * @return the longest time from a change to the arrival of its report, never null
+     */
+    static Duration reportDelay(final Blackboard board) {
+        final Duration delay = board.serving().site().broadcastDelay();
+        return board.serving().site().isRelayed() ? delay.multipliedBy(2) : delay;
+    }
+
+    private static void add(
+            final Map<Urgency, Demand> sums, final Map<ServiceUrgency, Demand> added, final ServiceName service) {
+        added.forEach((key, demand) -> {
+            if (key.service().equals(service)) {
+                sums.merge(key.urgency(), demand, Demand::plus);
+            }
+        });
+    }
+
+    private static ServiceUrgency key(final Call call) {
+        return new ServiceUrgency(call.service(), call.urgency());
+    }
+}
--- a/src/main/java/org/lacewingstep/controller/UpstreamRoom.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamRoom.java
@@ -8,6 +8,7 @@
 import org.lacewingstep.domain.ServiceLimits;
 import org.lacewingstep.domain.UpstreamRole;
 import org.lacewingstep.domain.UpstreamUse;
+import org.lacewingstep.placement.UrgentReserve;
 
 /** Decides whether an upstream has room for a call: memory of an engine, and the rate that a cold upstream bears. */
 final class UpstreamRoom {
@@ -52,10 +53,35 @@
             return true;
         }
         final UpstreamUse use = board.serving().use(upstream.name(), now);
-        final double overcommit =
-                CallPlacement.canMeetLatencyTarget(call, now) ? MEMORY_OVERCOMMIT : LATE_MEMORY_OVERCOMMIT;
+        if (use.requests() == 0) {
+            return true;
+        }
         final long requiredTokens = Math.min(call.tokens(), service.memoryTokens() / TYPICAL_CALL_DIVISOR);
-        return use.requests() == 0 || use.tokens() + requiredTokens <= service.memoryTokens() * overcommit;
+        return use.tokens() + requiredTokens <= service.memoryTokens() * overcommit(board, call, service, now);
+    }
+
+    private static double overcommit(
+            final Blackboard board, final Call call, final ServiceLimits service, final Instant now) {
+        final boolean onTime = CallTiming.canMeetLatencyTarget(call, now);
+        if (!DemandReports.isCounted(board, call.service())) {
+            return onTime ? MEMORY_OVERCOMMIT : LATE_MEMORY_OVERCOMMIT;
+        }
+        final double reserve = UrgentReserve.fraction(
+                DemandReports.site(board, call.service(), now),
+                call.urgency().after(CallTiming.waited(call, now), call.route().latencyTarget()),
+                onTime,
+                service.memoryTokens() / TYPICAL_CALL_DIVISOR,
+                DemandReports.reportDelay(board),
+                service.memoryTokens() * engines(board, call));
+        return MEMORY_OVERCOMMIT * (1 - reserve);
+    }
+
+    private static long engines(final Blackboard board, final Call call) {
+        return board.serving().registry().upstreams().values().stream()
+                .filter(entry -> entry.upstream().role() == UpstreamRole.DECODE
+                        && entry.upstream().service().equals(call.service())
+                        && !entry.upstream().draining())
+                .count();
     }
 
     /**
--- a/src/main/java/org/lacewingstep/domain/Urgency.java
+++ b/src/main/java/org/lacewingstep/domain/Urgency.java
@@ -1,5 +1,7 @@
 package org.lacewingstep.domain;
 
+import java.time.Duration;
+
 import org.lacewingstep.error.Validate;
 
 /**
@@ -29,6 +31,28 @@
         return new Urgency((int) Math.clamp(rank, 0, LAST_RANK));
     }
 
+    /**
+     * Returns the urgency of a call that has waited: one rank more for each latency target, so that no call starves.
+     *
+     * @param waited how long the call has waited; nothing changes if a clock was set back, not null
+     * @param latencyTarget the latency target of the call, positive
+     * @return the urgency, never null
+     */
+    public Urgency after(final Duration waited, final Duration latencyTarget) {
+        return nearest(rankAfter(waited, latencyTarget));
+    }
+
+    /**
+     * Returns the rank of a call that has waited, without a bound: a call that waits long enough precedes all others.
+     *
+     * @param waited how long the call has waited; nothing changes if a clock was set back, not null
+     * @param latencyTarget the latency target of the call, positive
+     * @return the rank, possibly negative
+     */
+    public long rankAfter(final Duration waited, final Duration latencyTarget) {
+        return rank - Math.max(0, waited.dividedBy(latencyTarget));
+    }
+
     @Override
     public int compareTo(final Urgency other) {
         return Integer.compare(rank, other.rank);
--- a/src/main/java/org/lacewingstep/peer/RecordCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RecordCodec.java
@@ -14,6 +14,7 @@
 import org.lacewingstep.blackboard.PromptEvidence;
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.CellName;
+import org.lacewingstep.domain.Demand;
 import org.lacewingstep.domain.FailureDomainName;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
@@ -23,13 +24,17 @@
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Reservation;
 import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.ServiceName;
+import org.lacewingstep.domain.ServiceUrgency;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamStart;
 import org.lacewingstep.domain.UpstreamUse;
+import org.lacewingstep.domain.Urgency;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
 import org.lacewingstep.peer.wire.WireAttempt;
+import org.lacewingstep.peer.wire.WireDemand;
 import org.lacewingstep.peer.wire.WireMember;
 import org.lacewingstep.peer.wire.WirePromptCrash;
 import org.lacewingstep.peer.wire.WirePromptEvidence;
@@ -146,9 +151,24 @@
                     .map(start -> new WireUpstreamStart(start.upstream().value(), start.startedAtMillis()))
                     .toList());
         }
+        if (!load.queued().isEmpty()) {
+            wire.setQueued(load.queued().entrySet().stream()
+                    .map(entry -> encodeDemand(entry.getKey(), entry.getValue()))
+                    .toList());
+        }
         return wire;
     }
 
+    private static WireDemand encodeDemand(final ServiceUrgency key, final Demand demand) {
+        return new WireDemand(
+                key.service().value(),
+                key.urgency().rank(),
+                demand.queued(),
+                demand.queuedTokens(),
+                demand.arrivedTokens(),
+                demand.releasedTokens());
+    }
+
     static PeerMessage.SiteLoad decodeSiteLoad(final WireSiteLoad wire) {
         final Map<UpstreamName, UpstreamUse> uses = new HashMap<>();
         wire.getUses()
@@ -167,7 +187,19 @@
                     .forEach(start -> leaving.add(new UpstreamStart(
                             new UpstreamName(start.getUpstream()), start.getStartedAtMilliseconds())));
         }
-        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving);
+        final Map<ServiceUrgency, Demand> queued = new HashMap<>();
+        if (wire.isSetQueued()) {
+            wire.getQueued()
+                    .forEach(demand -> queued.put(
+                            new ServiceUrgency(
+                                    new ServiceName(demand.getServiceName()), Urgency.nearest(demand.getUrgency())),
+                            new Demand(
+                                    demand.getQueued(),
+                                    demand.getQueuedTokens(),
+                                    demand.getArrivedTokens(),
+                                    demand.getReleasedTokens())));
+        }
+        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving, queued);
     }
 
     private static WirePromptEvidence encodeEvidence(final PromptPart part, final PromptEvidence evidence) {
--- a/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField SPENT_FIELD_DESC = new org.apache.thrift.protocol.TField("spent", org.apache.thrift.protocol.TType.MAP, (short)2);
   private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField QUEUED_FIELD_DESC = new org.apache.thrift.protocol.TField("queued", org.apache.thrift.protocol.TType.LIST, (short)20);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireSiteLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireSiteLoadTupleSchemeFactory();
@@ -22,13 +23,15 @@
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Double> spent; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<WirePromptEvidence> prompts; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<WireUpstreamStart> leaving; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<WireDemand> queued; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     USES((short)1, "uses"),
     SPENT((short)2, "spent"),
     PROMPTS((short)3, "prompts"),
-    LEAVING((short)4, "leaving");
+    LEAVING((short)4, "leaving"),
+    QUEUED((short)20, "queued");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return PROMPTS;
         case 4: // LEAVING
           return LEAVING;
+        case 20: // QUEUED
+          return QUEUED;
         default:
           return null;
       }
@@ -95,7 +100,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING};
+  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING,_Fields.QUEUED};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -112,6 +117,9 @@
     tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireUpstreamStart.class))));
+    tmpMap.put(_Fields.QUEUED, new org.apache.thrift.meta_data.FieldMetaData("queued", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireDemand.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireSiteLoad.class, metaDataMap);
   }
@@ -157,6 +165,13 @@
       }
       this.leaving = __this__leaving;
     }
+    if (other.isSetQueued()) {
+      java.util.List<WireDemand> __this__queued = new java.util.ArrayList<WireDemand>(other.queued.size());
+      for (WireDemand other_element : other.queued) {
+        __this__queued.add(new WireDemand(other_element));
+      }
+      this.queued = __this__queued;
+    }
   }
 
   @Override
@@ -170,6 +185,7 @@
     this.spent = null;
     this.prompts = null;
     this.leaving = null;
+    this.queued = null;
   }
 
   public int getUsesSize() {
@@ -331,6 +347,47 @@
     }
   }
 
+  public int getQueuedSize() {
+    return (this.queued == null) ? 0 : this.queued.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WireDemand> getQueuedIterator() {
+    return (this.queued == null) ? null : this.queued.iterator();
+  }
+
+  public void addToQueued(WireDemand elem) {
+    if (this.queued == null) {
+      this.queued = new java.util.ArrayList<WireDemand>();
+    }
+    this.queued.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WireDemand> getQueued() {
+    return this.queued;
+  }
+
+  public WireSiteLoad setQueued(@org.apache.thrift.annotation.Nullable java.util.List<WireDemand> queued) {
+    this.queued = queued;
+    return this;
+  }
+
+  public void unsetQueued() {
+    this.queued = null;
+  }
+
+  /** Returns true if field queued is set (has been assigned a value) and false otherwise */
+  public boolean isSetQueued() {
+    return this.queued != null;
+  }
+
+  public void setQueuedIsSet(boolean value) {
+    if (!value) {
+      this.queued = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -366,6 +423,14 @@
       }
       break;
 
+    case QUEUED:
+      if (value == null) {
+        unsetQueued();
+      } else {
+        setQueued((java.util.List<WireDemand>)value);
+      }
+      break;
+
     }
   }
 
@@ -385,6 +450,9 @@
     case LEAVING:
       return getLeaving();
 
+    case QUEUED:
+      return getQueued();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -405,6 +473,8 @@
       return isSetPrompts();
     case LEAVING:
       return isSetLeaving();
+    case QUEUED:
+      return isSetQueued();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -458,6 +528,15 @@
         return false;
     }
 
+    boolean this_present_queued = true && this.isSetQueued();
+    boolean that_present_queued = true && that.isSetQueued();
+    if (this_present_queued || that_present_queued) {
+      if (!(this_present_queued && that_present_queued))
+        return false;
+      if (!this.queued.equals(that.queued))
+        return false;
+    }
+
     return true;
   }
 
@@ -481,6 +560,10 @@
     if (isSetLeaving())
       hashCode = hashCode * 8191 + leaving.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetQueued()) ? 131071 : 524287);
+    if (isSetQueued())
+      hashCode = hashCode * 8191 + queued.hashCode();
+
     return hashCode;
   }
 
@@ -532,6 +615,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetQueued(), other.isSetQueued());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQueued()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.queued, other.queued);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -591,6 +684,16 @@
       }
       first = false;
     }
+    if (isSetQueued()) {
+      if (!first) sb.append(", ");
+      sb.append("queued:");
+      if (this.queued == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.queued);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -713,6 +816,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 20: // QUEUED
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list85 = iprot.readListBegin();
+                struct.queued = new java.util.ArrayList<WireDemand>(_list85.size);
+                @org.apache.thrift.annotation.Nullable WireDemand _elem86;
+                for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+                {
+                  _elem86 = new WireDemand();
+                  _elem86.read(iprot);
+                  struct.queued.add(_elem86);
+                }
+                iprot.readListEnd();
+              }
+              struct.setQueuedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -733,9 +855,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (WireUpstreamUse _iter85 : struct.uses)
+          for (WireUpstreamUse _iter88 : struct.uses)
           {
-            _iter85.write(oprot);
+            _iter88.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -745,10 +867,10 @@
         oprot.writeFieldBegin(SPENT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE, struct.spent.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter86 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter89 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter86.getKey());
-            oprot.writeDouble(_iter86.getValue());
+            oprot.writeString(_iter89.getKey());
+            oprot.writeDouble(_iter89.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -759,9 +881,9 @@
           oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-            for (WirePromptEvidence _iter87 : struct.prompts)
+            for (WirePromptEvidence _iter90 : struct.prompts)
             {
-              _iter87.write(oprot);
+              _iter90.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -773,9 +895,23 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (WireUpstreamStart _iter88 : struct.leaving)
+            for (WireUpstreamStart _iter91 : struct.leaving)
             {
-              _iter88.write(oprot);
+              _iter91.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.queued != null) {
+        if (struct.isSetQueued()) {
+          oprot.writeFieldBegin(QUEUED_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.queued.size()));
+            for (WireDemand _iter92 : struct.queued)
+            {
+              _iter92.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -813,41 +949,53 @@
       if (struct.isSetLeaving()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetQueued()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetUses()) {
         {
           oprot.writeI32(struct.uses.size());
-          for (WireUpstreamUse _iter89 : struct.uses)
+          for (WireUpstreamUse _iter93 : struct.uses)
           {
-            _iter89.write(oprot);
+            _iter93.write(oprot);
           }
         }
       }
       if (struct.isSetSpent()) {
         {
           oprot.writeI32(struct.spent.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter90 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter94 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter90.getKey());
-            oprot.writeDouble(_iter90.getValue());
+            oprot.writeString(_iter94.getKey());
+            oprot.writeDouble(_iter94.getValue());
           }
         }
       }
       if (struct.isSetPrompts()) {
         {
           oprot.writeI32(struct.prompts.size());
-          for (WirePromptEvidence _iter91 : struct.prompts)
+          for (WirePromptEvidence _iter95 : struct.prompts)
           {
-            _iter91.write(oprot);
+            _iter95.write(oprot);
           }
         }
       }
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (WireUpstreamStart _iter92 : struct.leaving)
+          for (WireUpstreamStart _iter96 : struct.leaving)
           {
-            _iter92.write(oprot);
+            _iter96.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetQueued()) {
+        {
+          oprot.writeI32(struct.queued.size());
+          for (WireDemand _iter97 : struct.queued)
+          {
+            _iter97.write(oprot);
           }
         }
       }
@@ -856,64 +1004,78 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireSiteLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list93.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem94;
-          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
+          org.apache.thrift.protocol.TList _list98 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list98.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem99;
+          for (int _i100 = 0; _i100 < _list98.size; ++_i100)
           {
-            _elem94 = new WireUpstreamUse();
-            _elem94.read(iprot);
-            struct.uses.add(_elem94);
+            _elem99 = new WireUpstreamUse();
+            _elem99.read(iprot);
+            struct.uses.add(_elem99);
           }
         }
         struct.setUsesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map96 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
-          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map96.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key97;
-          double _val98;
-          for (int _i99 = 0; _i99 < _map96.size; ++_i99)
+          org.apache.thrift.protocol.TMap _map101 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
+          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map101.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key102;
+          double _val103;
+          for (int _i104 = 0; _i104 < _map101.size; ++_i104)
           {
-            _key97 = iprot.readString();
-            _val98 = iprot.readDouble();
-            struct.spent.put(_key97, _val98);
+            _key102 = iprot.readString();
+            _val103 = iprot.readDouble();
+            struct.spent.put(_key102, _val103);
           }
         }
         struct.setSpentIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list100 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list100.size);
-          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem101;
-          for (int _i102 = 0; _i102 < _list100.size; ++_i102)
+          org.apache.thrift.protocol.TList _list105 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list105.size);
+          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem106;
+          for (int _i107 = 0; _i107 < _list105.size; ++_i107)
           {
-            _elem101 = new WirePromptEvidence();
-            _elem101.read(iprot);
-            struct.prompts.add(_elem101);
+            _elem106 = new WirePromptEvidence();
+            _elem106.read(iprot);
+            struct.prompts.add(_elem106);
           }
         }
         struct.setPromptsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list103 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list103.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem104;
-          for (int _i105 = 0; _i105 < _list103.size; ++_i105)
+          org.apache.thrift.protocol.TList _list108 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list108.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem109;
+          for (int _i110 = 0; _i110 < _list108.size; ++_i110)
           {
-            _elem104 = new WireUpstreamStart();
-            _elem104.read(iprot);
-            struct.leaving.add(_elem104);
+            _elem109 = new WireUpstreamStart();
+            _elem109.read(iprot);
+            struct.leaving.add(_elem109);
           }
         }
         struct.setLeavingIsSet(true);
       }
+      if (incoming.get(4)) {
+        {
+          org.apache.thrift.protocol.TList _list111 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.queued = new java.util.ArrayList<WireDemand>(_list111.size);
+          @org.apache.thrift.annotation.Nullable WireDemand _elem112;
+          for (int _i113 = 0; _i113 < _list111.size; ++_i113)
+          {
+            _elem112 = new WireDemand();
+            _elem112.read(iprot);
+            struct.queued.add(_elem112);
+          }
+        }
+        struct.setQueuedIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/lacewingstep/placement/QueueOrder.java
+++ b/src/main/java/org/lacewingstep/placement/QueueOrder.java
@@ -50,8 +50,7 @@
             Duration latencyTarget,
             Optional<TeamName> team) {
         private long rankAt(final Instant now) {
-            final Duration waited = Duration.between(receivedAt, now);
-            return urgency.rank() - Math.max(0, waited.dividedBy(latencyTarget));
+            return urgency.rankAfter(Duration.between(receivedAt, now), latencyTarget);
         }
     }
 
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -154,11 +154,21 @@
   4: optional i64 servedAgeMilliseconds
 }
 
+struct WireDemand {
+  1: string serviceName
+  2: i32 urgency
+  3: i32 queued
+  4: i64 queuedTokens
+  5: i64 arrivedTokens
+  6: i64 releasedTokens
+}
+
 struct WireSiteLoad {
   1: list<WireUpstreamUse> uses
   2: map<string, double> spent
   3: optional list<WirePromptEvidence> prompts
   4: optional list<WireUpstreamStart> leaving
+  20: optional list<WireDemand> queued
 }
 
 struct WireStoreQuery {
