--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -33,9 +33,6 @@
     /** Interval at which queued calls search again, for capacity that other instances have released. */
     private static final Duration QUEUE_POLL_INTERVAL = Duration.ofMillis(40);
 
-    /** Fraction of the latency target that a call may wait before it is sent and still be on time. */
-    private static final double ON_TIME_FRACTION = 0.6;
-
     /** Wait for engine capacity beyond the latency target of a stream; about the duration of one response. */
     private static final Duration STREAM_EXTRA_WAIT = Duration.ofSeconds(2);
 
@@ -213,18 +210,6 @@
                 Duration.between(now, call.deadline()));
     }
 
-    /**
-     * Returns whether a call that is sent now can be answered within its latency target.
-     *
-     * @param call the call, not null
-     * @param now the present time, not null
-     * @return true if the response can be on time
-     */
-    static boolean canMeetLatencyTarget(final Call call, final Instant now) {
-        final Duration waited = Duration.between(call.parameters().receivedAt(), now);
-        return waited.toNanos() <= call.route().latencyTarget().toNanos() * ON_TIME_FRACTION;
-    }
-
     private static Outcome<CallSection> queue(
             final Blackboard board, final Call call, final OutcomeBuilder builder, final Instant now) {
         if (!(call.phase() instanceof CallPhase.Queued(Instant until)) || !now.isBefore(until)) {
@@ -308,6 +293,7 @@
                         prefill.map(chosen -> chosen.name().value()).orElse("none")),
                 Input.of("attempt", attempt),
                 Input.of("team", call.team().map(Object::toString).orElse("none")),
+                Input.of("urgency", call.urgency().rank()),
                 Input.of("version", board.serving().routing().table().version()),
                 Input.of("running", board.serving().use(upstream.name(), now)),
                 Input.of("left_ms", Duration.between(now, call.deadline()).toMillis()))));
@@ -351,7 +337,10 @@
                 retryTimeout(call, attempt, responseTimeout(board, call, upstream, now), now),
                 retryTimeout(call, attempt, SILENCE_TIMEOUT, now),
                 call.route().kind() instanceof RouteKind.EventStream,
-                ReservationRequest.connectionLimit(board, call));
+                ReservationRequest.connectionLimit(board, call),
+                board.serving().routing().table().ranked().contains(call.service())
+                        ? Optional.of(call.urgency())
+                        : Optional.empty());
     }
 
     private static Optional<RegisteredUpstream> choosePrefill(
