Measure the speed of upstreams and weigh the load by it

A choice by the count of running requests sends a slow upstream as much as a fast one. The cost is the count times the slowness against the service. Where reports arrive later than calls end, plain calls are spread by chance and speed and prompts by the rate of arrivals. Equal speeds leave the choice as it was.

--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -353,6 +353,9 @@
     /** A response announced that its upstream is shutting down or must not be sent requests for a time. */
     record UpstreamNoticeReceived(UpstreamNotice notice) implements Event {}
 
+    /** An upstream has finished work whose duration was measured. */
+    record WorkMeasured(WorkMeasurement measurement) implements Event {}
+
     /**
      * An upstream has sent nothing for longer than usual; the attempt continues.
      *
--- a/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
+++ b/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
@@ -13,6 +13,8 @@
 import org.lacewingstep.domain.PromptPart;
 import org.lacewingstep.domain.Reservation;
 import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.SpeedKey;
+import org.lacewingstep.domain.SpeedSum;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamStart;
@@ -226,12 +228,14 @@
      * @param spent units that each team with recent spending has spent at the sender since the sender started, not null
      * @param prompts the evidence on parts of prompts that are suspected of crashing upstreams, not null
      * @param leaving the starts of upstreams that have announced that they leave, not null
+     * @param speeds the durations of work that the sender has measured lately, not null
      */
     record SiteLoad(
             Map<UpstreamName, UpstreamUse> uses,
             Map<TeamName, Double> spent,
             Map<PromptPart, PromptEvidence> prompts,
-            Set<UpstreamStart> leaving)
+            Set<UpstreamStart> leaving,
+            Map<SpeedKey, SpeedSum> speeds)
             implements PeerMessage {
         /** Copies the collections. */
         public SiteLoad {
@@ -239,6 +243,23 @@
             spent = Map.copyOf(spent);
             prompts = Map.copyOf(prompts);
             leaving = Set.copyOf(leaving);
+            speeds = Map.copyOf(speeds);
+        }
+
+        /**
+         * Creates a report without measured speeds.
+         *
+         * @param uses the sender's running requests at each upstream, not null
+         * @param spent units that each team has spent at the sender since the sender started, not null
+         * @param prompts the evidence on parts of prompts, not null
+         * @param leaving the starts of upstreams that have announced that they leave, not null
+         */
+        public SiteLoad(
+                final Map<UpstreamName, UpstreamUse> uses,
+                final Map<TeamName, Double> spent,
+                final Map<PromptPart, PromptEvidence> prompts,
+                final Set<UpstreamStart> leaving) {
+            this(uses, spent, prompts, leaving, Map.of());
         }
     }
 }
--- a/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
@@ -19,6 +19,7 @@
  * @param relay what this instance passes on between the store and other instances, not null
  * @param prompts the parts of prompts that are suspected of crashing upstreams, not null
  * @param notices what upstreams have announced in their responses, not null
+ * @param speeds the measured speeds of upstreams, not null
  */
 public record ServingBoard(
         SiteSection site,
@@ -30,7 +31,8 @@
         RoleSection roles,
         RelaySection relay,
         PromptSection prompts,
-        UpstreamNoticeSection notices) {
+        UpstreamNoticeSection notices,
+        SpeedSection speeds) {
     /** The initial sections of a process. */
     public static final ServingBoard INITIAL = new ServingBoard(
             SiteSection.INITIAL,
@@ -42,7 +44,8 @@
             RoleSection.INITIAL,
             RelaySection.INITIAL,
             PromptSection.INITIAL,
-            UpstreamNoticeSection.INITIAL);
+            UpstreamNoticeSection.INITIAL,
+            SpeedSection.INITIAL);
 
     /** Checks that every section is present. */
     public ServingBoard {
@@ -56,6 +59,7 @@
         Validate.notNull(relay, "relay");
         Validate.notNull(prompts, "prompts");
         Validate.notNull(notices, "notices");
+        Validate.notNull(speeds, "speeds");
     }
 
     /**
@@ -67,25 +71,36 @@
     public ServingBoard with(final ServingSection section) {
         return switch (section) {
             case SiteSection next ->
-                new ServingBoard(next, routing, registry, allowances, loads, calls, roles, relay, prompts, notices);
+                new ServingBoard(
+                        next, routing, registry, allowances, loads, calls, roles, relay, prompts, notices, speeds);
             case RoutingSection next ->
-                new ServingBoard(site, next, registry, allowances, loads, calls, roles, relay, prompts, notices);
+                new ServingBoard(
+                        site, next, registry, allowances, loads, calls, roles, relay, prompts, notices, speeds);
             case RegistrySection next ->
-                new ServingBoard(site, routing, next, allowances, loads, calls, roles, relay, prompts, notices);
+                new ServingBoard(site, routing, next, allowances, loads, calls, roles, relay, prompts, notices, speeds);
             case AllowanceSection next ->
-                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts, notices);
+                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts, notices, speeds);
             case UpstreamLoadSection next ->
-                new ServingBoard(site, routing, registry, allowances, next, calls, roles, relay, prompts, notices);
-            case RelaySection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, next, prompts, notices);
+                new ServingBoard(
+                        site, routing, registry, allowances, next, calls, roles, relay, prompts, notices, speeds);
+            case CallSection next ->
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, next, roles, relay, prompts, notices, speeds);
             case RoleSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, next, relay, prompts, notices);
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, next, relay, prompts, notices, speeds);
+            case RelaySection next ->
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, roles, next, prompts, notices, speeds);
             case PromptSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, relay, next, notices);
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, roles, relay, next, notices, speeds);
             case UpstreamNoticeSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, relay, prompts, next);
-            case CallSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, next, roles, relay, prompts, notices);
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, roles, relay, prompts, next, speeds);
+            case SpeedSection next ->
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, roles, relay, prompts, notices, next);
         };
     }
 
--- a/src/main/java/org/lacewingstep/blackboard/ServingSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingSection.java
@@ -10,5 +10,6 @@
                 RoleSection,
                 RoutingSection,
                 SiteSection,
+                SpeedSection,
                 UpstreamLoadSection,
                 UpstreamNoticeSection {}
--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -31,6 +31,7 @@
             new RelayController(),
             new UpstreamLoadController(),
             new UpstreamNoticeController(),
+            new SpeedController(),
             new AllowanceController(),
             new RoleController(),
             new PromptController(),
--- a/src/main/java/org/lacewingstep/controller/Controller.java
+++ b/src/main/java/org/lacewingstep/controller/Controller.java
@@ -26,6 +26,7 @@
                 RoleController,
                 RoutingController,
                 SiteController,
+                SpeedController,
                 TeamBudgetController,
                 TokenRequestController,
                 UpstreamController,
--- a/src/main/java/org/lacewingstep/controller/UpstreamCost.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamCost.java
@@ -8,6 +8,7 @@
 import org.lacewingstep.blackboard.UpstreamLoadSection.Load;
 import org.lacewingstep.domain.FailureDomainName;
 import org.lacewingstep.domain.RegisteredUpstream;
+import org.lacewingstep.domain.UpstreamUse;
 
 /** Computes what a call would cost at an upstream, by load, failures and failure domain. */
 final class UpstreamCost {
@@ -26,6 +27,9 @@
     /** Weight of the tie-break between upstreams of equal load, in running requests; below any difference in load. */
     private static final double TIE_BREAK_WEIGHT = 0.25;
 
+    /** Smallest chance that is told from zero. */
+    private static final double MIN_CHANCE = 1e-9;
+
     private UpstreamCost() {}
 
     /**
@@ -46,7 +50,7 @@
             final Instant now) {
         final RegisteredUpstream upstream = entry.upstream();
         final Load load = load(board, upstream);
-        return board.serving().use(upstream.name(), now).requests()
+        return UpstreamSpeeds.slowness(board, upstream, now) * (1 + requests(board, call, upstream, now))
                 + FAILURE_PENALTY * load.failureShare()
                 + (upstream.failureDomain().equals(preferredDomain) ? 0 : REMOTE_DOMAIN_PENALTY)
                 + (load.avoidUntil().isAfter(now) ? BACKOFF_PENALTY : 0)
@@ -54,6 +58,30 @@
                 + TIE_BREAK_WEIGHT * UpstreamChoice.tieBreak(call, upstream.name());
     }
 
+    /**
+     * Forecasts the requests that run at an upstream. Where reports arrive later than the reported requests end, all
+     * instances would choose the upstream that was free when they were sent. There the requests of the other instances
+     * follow from the rate at which they arrive, or, for plain calls, which have few upstreams, from chance.
+     */
+    private static double requests(
+            final Blackboard board, final Call call, final RegisteredUpstream upstream, final Instant now) {
+        final UpstreamUse use = board.serving().use(upstream.name(), now);
+        if (!board.serving().site().isRelayed()) {
+            return use.requests();
+        }
+        final Load load = load(board, upstream);
+        final int own = load.running().requests();
+        return switch (upstream.role()) {
+            case DECODE -> use.requests();
+            case PLAIN -> own - 1 - Math.log(Math.max(MIN_CHANCE, UpstreamChoice.tieBreak(call, upstream.name())));
+            case PREFILL ->
+                own
+                        + (use.arrivals() + load.recentArrivals(now))
+                                * UpstreamSpeeds.secondsPerUnit(board, upstream, now)
+                                * call.tokens();
+        };
+    }
+
     /**
      * Returns the load of this instance at the present start of an upstream.
      *
--- a/src/main/java/org/lacewingstep/peer/RecordCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RecordCodec.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.peer;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,10 +24,13 @@
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Reservation;
 import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.SpeedKey;
+import org.lacewingstep.domain.SpeedSum;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamStart;
 import org.lacewingstep.domain.UpstreamUse;
+import org.lacewingstep.domain.WorkKind;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
 import org.lacewingstep.peer.wire.WireAttempt;
@@ -36,6 +40,7 @@
 import org.lacewingstep.peer.wire.WireReservation;
 import org.lacewingstep.peer.wire.WireRosterCopy;
 import org.lacewingstep.peer.wire.WireSiteLoad;
+import org.lacewingstep.peer.wire.WireSpeed;
 import org.lacewingstep.peer.wire.WireUpstreamStart;
 import org.lacewingstep.peer.wire.WireUpstreamUse;
 
@@ -146,9 +151,24 @@
                     .map(start -> new WireUpstreamStart(start.upstream().value(), start.startedAtMillis()))
                     .toList());
         }
+        if (!load.speeds().isEmpty()) {
+            wire.setSpeeds(load.speeds().entrySet().stream()
+                    .map(entry -> encodeSpeed(entry.getKey(), entry.getValue()))
+                    .toList());
+        }
         return wire;
     }
 
+    private static WireSpeed encodeSpeed(final SpeedKey key, final SpeedSum sum) {
+        return new WireSpeed(
+                key.start().upstream().value(),
+                key.start().startedAtMillis(),
+                (byte) key.kind().ordinal(),
+                sum.samples(),
+                sum.weight(),
+                sum.logSum());
+    }
+
     static PeerMessage.SiteLoad decodeSiteLoad(final WireSiteLoad wire) {
         final Map<UpstreamName, UpstreamUse> uses = new HashMap<>();
         wire.getUses()
@@ -167,7 +187,23 @@
                     .forEach(start -> leaving.add(new UpstreamStart(
                             new UpstreamName(start.getUpstream()), start.getStartedAtMilliseconds())));
         }
-        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving);
+        final Map<SpeedKey, SpeedSum> speeds = new HashMap<>();
+        if (wire.isSetSpeeds()) {
+            wire.getSpeeds().stream().filter(RecordCodec::isKnownKind).forEach(speed -> decodeSpeed(speed, speeds));
+        }
+        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving, speeds);
+    }
+
+    private static boolean isKnownKind(final WireSpeed speed) {
+        return speed.getKind() >= 0 && speed.getKind() < WorkKind.values().length;
+    }
+
+    private static void decodeSpeed(final WireSpeed wire, final Map<SpeedKey, SpeedSum> speeds) {
+        final UpstreamStart start =
+                new UpstreamStart(new UpstreamName(wire.getUpstream()), wire.getStartedAtMilliseconds());
+        speeds.put(
+                new SpeedKey(start, WorkKind.values()[wire.getKind()]),
+                new SpeedSum(wire.getSamples(), wire.getWeight(), wire.getLogSum(), Instant.EPOCH));
     }
 
     private static WirePromptEvidence encodeEvidence(final PromptPart part, final PromptEvidence evidence) {
--- a/src/main/java/org/lacewingstep/peer/wire/WireRolePlan.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireRolePlan.java
@@ -505,14 +505,14 @@
           case 2: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<WireRoleChange>(_list106.size);
-                @org.apache.thrift.annotation.Nullable WireRoleChange _elem107;
-                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
+                org.apache.thrift.protocol.TList _list114 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<WireRoleChange>(_list114.size);
+                @org.apache.thrift.annotation.Nullable WireRoleChange _elem115;
+                for (int _i116 = 0; _i116 < _list114.size; ++_i116)
                 {
-                  _elem107 = new WireRoleChange();
-                  _elem107.read(iprot);
-                  struct.changes.add(_elem107);
+                  _elem115 = new WireRoleChange();
+                  _elem115.read(iprot);
+                  struct.changes.add(_elem115);
                 }
                 iprot.readListEnd();
               }
@@ -554,9 +554,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (WireRoleChange _iter109 : struct.changes)
+          for (WireRoleChange _iter117 : struct.changes)
           {
-            _iter109.write(oprot);
+            _iter117.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -600,9 +600,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (WireRoleChange _iter110 : struct.changes)
+          for (WireRoleChange _iter118 : struct.changes)
           {
-            _iter110.write(oprot);
+            _iter118.write(oprot);
           }
         }
       }
@@ -621,14 +621,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list111 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<WireRoleChange>(_list111.size);
-          @org.apache.thrift.annotation.Nullable WireRoleChange _elem112;
-          for (int _i113 = 0; _i113 < _list111.size; ++_i113)
+          org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<WireRoleChange>(_list119.size);
+          @org.apache.thrift.annotation.Nullable WireRoleChange _elem120;
+          for (int _i121 = 0; _i121 < _list119.size; ++_i121)
           {
-            _elem112 = new WireRoleChange();
-            _elem112.read(iprot);
-            struct.changes.add(_elem112);
+            _elem120 = new WireRoleChange();
+            _elem120.read(iprot);
+            struct.changes.add(_elem120);
           }
         }
         struct.setChangesIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField SPENT_FIELD_DESC = new org.apache.thrift.protocol.TField("spent", org.apache.thrift.protocol.TType.MAP, (short)2);
   private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField SPEEDS_FIELD_DESC = new org.apache.thrift.protocol.TField("speeds", org.apache.thrift.protocol.TType.LIST, (short)21);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireSiteLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireSiteLoadTupleSchemeFactory();
@@ -22,13 +23,15 @@
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Double> spent; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<WirePromptEvidence> prompts; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<WireUpstreamStart> leaving; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<WireSpeed> speeds; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     USES((short)1, "uses"),
     SPENT((short)2, "spent"),
     PROMPTS((short)3, "prompts"),
-    LEAVING((short)4, "leaving");
+    LEAVING((short)4, "leaving"),
+    SPEEDS((short)21, "speeds");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return PROMPTS;
         case 4: // LEAVING
           return LEAVING;
+        case 21: // SPEEDS
+          return SPEEDS;
         default:
           return null;
       }
@@ -95,7 +100,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING};
+  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING,_Fields.SPEEDS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -112,6 +117,9 @@
     tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireUpstreamStart.class))));
+    tmpMap.put(_Fields.SPEEDS, new org.apache.thrift.meta_data.FieldMetaData("speeds", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireSpeed.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireSiteLoad.class, metaDataMap);
   }
@@ -157,6 +165,13 @@
       }
       this.leaving = __this__leaving;
     }
+    if (other.isSetSpeeds()) {
+      java.util.List<WireSpeed> __this__speeds = new java.util.ArrayList<WireSpeed>(other.speeds.size());
+      for (WireSpeed other_element : other.speeds) {
+        __this__speeds.add(new WireSpeed(other_element));
+      }
+      this.speeds = __this__speeds;
+    }
   }
 
   @Override
@@ -170,6 +185,7 @@
     this.spent = null;
     this.prompts = null;
     this.leaving = null;
+    this.speeds = null;
   }
 
   public int getUsesSize() {
@@ -331,6 +347,47 @@
     }
   }
 
+  public int getSpeedsSize() {
+    return (this.speeds == null) ? 0 : this.speeds.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WireSpeed> getSpeedsIterator() {
+    return (this.speeds == null) ? null : this.speeds.iterator();
+  }
+
+  public void addToSpeeds(WireSpeed elem) {
+    if (this.speeds == null) {
+      this.speeds = new java.util.ArrayList<WireSpeed>();
+    }
+    this.speeds.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WireSpeed> getSpeeds() {
+    return this.speeds;
+  }
+
+  public WireSiteLoad setSpeeds(@org.apache.thrift.annotation.Nullable java.util.List<WireSpeed> speeds) {
+    this.speeds = speeds;
+    return this;
+  }
+
+  public void unsetSpeeds() {
+    this.speeds = null;
+  }
+
+  /** Returns true if field speeds is set (has been assigned a value) and false otherwise */
+  public boolean isSetSpeeds() {
+    return this.speeds != null;
+  }
+
+  public void setSpeedsIsSet(boolean value) {
+    if (!value) {
+      this.speeds = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -366,6 +423,14 @@
       }
       break;
 
+    case SPEEDS:
+      if (value == null) {
+        unsetSpeeds();
+      } else {
+        setSpeeds((java.util.List<WireSpeed>)value);
+      }
+      break;
+
     }
   }
 
@@ -385,6 +450,9 @@
     case LEAVING:
       return getLeaving();
 
+    case SPEEDS:
+      return getSpeeds();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -405,6 +473,8 @@
       return isSetPrompts();
     case LEAVING:
       return isSetLeaving();
+    case SPEEDS:
+      return isSetSpeeds();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -458,6 +528,15 @@
         return false;
     }
 
+    boolean this_present_speeds = true && this.isSetSpeeds();
+    boolean that_present_speeds = true && that.isSetSpeeds();
+    if (this_present_speeds || that_present_speeds) {
+      if (!(this_present_speeds && that_present_speeds))
+        return false;
+      if (!this.speeds.equals(that.speeds))
+        return false;
+    }
+
     return true;
   }
 
@@ -481,6 +560,10 @@
     if (isSetLeaving())
       hashCode = hashCode * 8191 + leaving.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetSpeeds()) ? 131071 : 524287);
+    if (isSetSpeeds())
+      hashCode = hashCode * 8191 + speeds.hashCode();
+
     return hashCode;
   }
 
@@ -532,6 +615,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSpeeds(), other.isSetSpeeds());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSpeeds()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.speeds, other.speeds);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -591,6 +684,16 @@
       }
       first = false;
     }
+    if (isSetSpeeds()) {
+      if (!first) sb.append(", ");
+      sb.append("speeds:");
+      if (this.speeds == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.speeds);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -713,6 +816,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 21: // SPEEDS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list85 = iprot.readListBegin();
+                struct.speeds = new java.util.ArrayList<WireSpeed>(_list85.size);
+                @org.apache.thrift.annotation.Nullable WireSpeed _elem86;
+                for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+                {
+                  _elem86 = new WireSpeed();
+                  _elem86.read(iprot);
+                  struct.speeds.add(_elem86);
+                }
+                iprot.readListEnd();
+              }
+              struct.setSpeedsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -733,9 +855,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (WireUpstreamUse _iter85 : struct.uses)
+          for (WireUpstreamUse _iter88 : struct.uses)
           {
-            _iter85.write(oprot);
+            _iter88.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -745,10 +867,10 @@
         oprot.writeFieldBegin(SPENT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE, struct.spent.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter86 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter89 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter86.getKey());
-            oprot.writeDouble(_iter86.getValue());
+            oprot.writeString(_iter89.getKey());
+            oprot.writeDouble(_iter89.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -759,9 +881,9 @@
           oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-            for (WirePromptEvidence _iter87 : struct.prompts)
+            for (WirePromptEvidence _iter90 : struct.prompts)
             {
-              _iter87.write(oprot);
+              _iter90.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -773,9 +895,23 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (WireUpstreamStart _iter88 : struct.leaving)
+            for (WireUpstreamStart _iter91 : struct.leaving)
             {
-              _iter88.write(oprot);
+              _iter91.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.speeds != null) {
+        if (struct.isSetSpeeds()) {
+          oprot.writeFieldBegin(SPEEDS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.speeds.size()));
+            for (WireSpeed _iter92 : struct.speeds)
+            {
+              _iter92.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -813,41 +949,53 @@
       if (struct.isSetLeaving()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetSpeeds()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetUses()) {
         {
           oprot.writeI32(struct.uses.size());
-          for (WireUpstreamUse _iter89 : struct.uses)
+          for (WireUpstreamUse _iter93 : struct.uses)
           {
-            _iter89.write(oprot);
+            _iter93.write(oprot);
           }
         }
       }
       if (struct.isSetSpent()) {
         {
           oprot.writeI32(struct.spent.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter90 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter94 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter90.getKey());
-            oprot.writeDouble(_iter90.getValue());
+            oprot.writeString(_iter94.getKey());
+            oprot.writeDouble(_iter94.getValue());
           }
         }
       }
       if (struct.isSetPrompts()) {
         {
           oprot.writeI32(struct.prompts.size());
-          for (WirePromptEvidence _iter91 : struct.prompts)
+          for (WirePromptEvidence _iter95 : struct.prompts)
           {
-            _iter91.write(oprot);
+            _iter95.write(oprot);
           }
         }
       }
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (WireUpstreamStart _iter92 : struct.leaving)
+          for (WireUpstreamStart _iter96 : struct.leaving)
           {
-            _iter92.write(oprot);
+            _iter96.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetSpeeds()) {
+        {
+          oprot.writeI32(struct.speeds.size());
+          for (WireSpeed _iter97 : struct.speeds)
+          {
+            _iter97.write(oprot);
           }
         }
       }
@@ -856,64 +1004,78 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireSiteLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list93.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem94;
-          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
+          org.apache.thrift.protocol.TList _list98 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list98.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem99;
+          for (int _i100 = 0; _i100 < _list98.size; ++_i100)
           {
-            _elem94 = new WireUpstreamUse();
-            _elem94.read(iprot);
-            struct.uses.add(_elem94);
+            _elem99 = new WireUpstreamUse();
+            _elem99.read(iprot);
+            struct.uses.add(_elem99);
           }
         }
         struct.setUsesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map96 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
-          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map96.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key97;
-          double _val98;
-          for (int _i99 = 0; _i99 < _map96.size; ++_i99)
+          org.apache.thrift.protocol.TMap _map101 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
+          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map101.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key102;
+          double _val103;
+          for (int _i104 = 0; _i104 < _map101.size; ++_i104)
           {
-            _key97 = iprot.readString();
-            _val98 = iprot.readDouble();
-            struct.spent.put(_key97, _val98);
+            _key102 = iprot.readString();
+            _val103 = iprot.readDouble();
+            struct.spent.put(_key102, _val103);
           }
         }
         struct.setSpentIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list100 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list100.size);
-          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem101;
-          for (int _i102 = 0; _i102 < _list100.size; ++_i102)
+          org.apache.thrift.protocol.TList _list105 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list105.size);
+          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem106;
+          for (int _i107 = 0; _i107 < _list105.size; ++_i107)
           {
-            _elem101 = new WirePromptEvidence();
-            _elem101.read(iprot);
-            struct.prompts.add(_elem101);
+            _elem106 = new WirePromptEvidence();
+            _elem106.read(iprot);
+            struct.prompts.add(_elem106);
           }
         }
         struct.setPromptsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list103 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list103.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem104;
-          for (int _i105 = 0; _i105 < _list103.size; ++_i105)
+          org.apache.thrift.protocol.TList _list108 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list108.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem109;
+          for (int _i110 = 0; _i110 < _list108.size; ++_i110)
           {
-            _elem104 = new WireUpstreamStart();
-            _elem104.read(iprot);
-            struct.leaving.add(_elem104);
+            _elem109 = new WireUpstreamStart();
+            _elem109.read(iprot);
+            struct.leaving.add(_elem109);
           }
         }
         struct.setLeavingIsSet(true);
       }
+      if (incoming.get(4)) {
+        {
+          org.apache.thrift.protocol.TList _list111 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.speeds = new java.util.ArrayList<WireSpeed>(_list111.size);
+          @org.apache.thrift.annotation.Nullable WireSpeed _elem112;
+          for (int _i113 = 0; _i113 < _list111.size; ++_i113)
+          {
+            _elem112 = new WireSpeed();
+            _elem112.read(iprot);
+            struct.speeds.add(_elem112);
+          }
+        }
+        struct.setSpeedsIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -55,11 +55,10 @@
     private final EngineReservation reservation;
     private final RequestIdentifier request;
     private final ExchangeRequests requests;
+    private final AttemptTimer timer;
 
     private Downstream<? super CallResponse> responseReceiver;
     private boolean ended;
-    private Optional<Instant> firstEventAt = Optional.empty();
-    private Instant lastEventAt = Instant.EPOCH;
     private UpstreamExchange exchange;
     private CallResponse.Complete upstreamError;
     private HttpResponse responseHead;
@@ -90,6 +89,7 @@
         this.pool = pool;
         this.receivedAt = openCalls.now();
         this.requests = new ExchangeRequests(openCalls, callerRequest);
+        this.timer = new AttemptTimer(openCalls, request);
         this.reservation = new EngineReservation(openCalls, pool, request);
         this.relay = new EventRelay(openCalls.protocol().lastReceivedEvent(callerRequest));
     }
@@ -167,6 +167,7 @@
             continueWithoutPrefill(instruction, new CallResult.NotRun(true));
             return;
         }
+        timer.start();
         exchange = pool.send(
                 requests.prefill(instruction, upstream.address()),
                 new ResponseCollector(
@@ -191,6 +192,7 @@
         final Optional<KvCacheReference> kvCacheReference =
                 openCalls.protocol().decodePrefillResponse(upstream.address(), response.body());
         prefillReference = kvCacheReference;
+        kvCacheReference.ifPresent(reference -> timer.postPrompt(upstream));
         openCalls.post(new Event.PrefillEnded(
                 request,
                 instruction.attempt(),
@@ -206,7 +208,7 @@
     private void sendForResponse(final Send instruction, final Optional<KvCacheReference> kvCacheReference) {
         responseHead = null;
         upstreamError = null;
-        firstEventAt = Optional.empty();
+        timer.start();
         responseBody = new ByteArrayOutputStream();
         relay.discardPartialEvent();
         if (!openCalls.acceptsRequests(instruction.upstream())) {
@@ -258,8 +260,7 @@
     }
 
     private CallResult.Broken broken(final boolean silent) {
-        return new CallResult.Broken(
-                silent, stream != null, firstEventAt.map(first -> Duration.between(first, lastEventAt)));
+        return new CallResult.Broken(silent, stream != null, timer.progress());
     }
 
     private void handleBody(final Send instruction, final ByteBuf content) {
@@ -288,11 +289,10 @@
 
     private void forward(final ByteBuf events) {
         exchange.restartTimeouts();
-        lastEventAt = openCalls.now();
-        firstEventAt = firstEventAt.or(() -> Optional.of(lastEventAt));
+        final Instant arrivedAt = timer.recordEvents(relay.events());
         if (stream == null) {
             stream = new ResponseStream(autoRead -> exchange.setAutoRead(autoRead), this::abandon, channel::close);
-            openCalls.metrics().recordFirstEvent(Duration.between(receivedAt, lastEventAt));
+            openCalls.metrics().recordFirstEvent(Duration.between(receivedAt, arrivedAt));
             responseReceiver.success(new CallResponse.Streamed(
                     responseHead.status().code(), openCalls.protocol().forwardedHeaders(responseHead), stream));
         }
@@ -310,6 +310,7 @@
                     openCalls.protocol().forwardedHeaders(responseHead),
                     responseBody.toByteArray());
             if (isSuccess()) {
+                timer.postCall(currentAttempt.upstream());
                 postAttemptEnd(new CallResult.Served());
                 respond(response);
             } else {
@@ -324,6 +325,7 @@
             postAttemptEnd(broken(false));
             return;
         }
+        timer.postStream(currentAttempt.upstream());
         postAttemptEnd(new CallResult.Served());
         end(responseHead.status().code());
         stream.complete();
@@ -331,7 +333,7 @@
 
     /** Returns whether a response without a length ended before its first event, as one that broke off does too. */
     private boolean endedBeforeFirstEvent() {
-        return firstEventAt.isEmpty()
+        return timer.progress().isEmpty()
                 && !HttpUtil.isContentLengthSet(responseHead)
                 && !HttpUtil.isTransferEncodingChunked(responseHead);
     }
--- a/src/main/java/org/lacewingstep/traffic/EventRelay.java
+++ b/src/main/java/org/lacewingstep/traffic/EventRelay.java
@@ -27,6 +27,7 @@
     private boolean inSequence;
     private boolean outOfSequence;
     private boolean released;
+    private int events;
     private Optional<String> lastIdentifier;
     private ByteBuf pending = Unpooled.EMPTY_BUFFER;
 
@@ -118,6 +119,15 @@
         return pending.isReadable();
     }
 
+    /**
+     * Counts the events with fields that were accepted, of all responses.
+     *
+     * @return the number of events
+     */
+    int events() {
+        return events;
+    }
+
     /**
      * Returns the identifier of the last complete event.
      *
@@ -187,6 +197,7 @@
             return false;
         }
         inSequence = true;
+        events++;
         lastIdentifier = identifier.or(() -> lastIdentifier);
         return true;
     }
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -154,11 +154,21 @@
   4: optional i64 servedAgeMilliseconds
 }
 
+struct WireSpeed {
+  1: string upstream
+  2: i64 startedAtMilliseconds
+  3: i8 kind
+  4: i64 samples
+  5: double weight
+  6: double logSum
+}
+
 struct WireSiteLoad {
   1: list<WireUpstreamUse> uses
   2: map<string, double> spent
   3: optional list<WirePromptEvidence> prompts
   4: optional list<WireUpstreamStart> leaving
+  21: optional list<WireSpeed> speeds
 }
 
 struct WireStoreQuery {
