--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -163,12 +163,22 @@
   6: i64 releasedTokens
 }
 
+struct WireSpeed {
+  1: string upstream
+  2: i64 startedAtMilliseconds
+  3: i8 kind
+  4: i64 samples
+  5: double weight
+  6: double logSum
+}
+
 struct WireSiteLoad {
   1: list<WireUpstreamUse> uses
   2: map<string, double> spent
   3: optional list<WirePromptEvidence> prompts
   4: optional list<WireUpstreamStart> leaving
   20: optional list<WireDemand> queued
+  21: optional list<WireSpeed> speeds
 }
 
 struct WireStoreQuery {
