Charge a retry to its service when it is decided

Cause: the budget was asked when a retry was decided and charged when it was sent, up to 2.9 s later, and a charge beyond zero was dropped. All services drew on one budget, although the limit holds for each service by itself: what the requests for one service earned was spent at another. A restarted process began with credits that the process before may have spent.

Change: a budget for each service. A retry takes its credit when it is decided and holds it until it is sent; credits and held retries together stay within the capacity, so a window in which earlier retries are sent is bounded too. A retry that is not sent, or whose connection is refused, gives its credit back. A prompt that a prefill upstream turns away is charged, later retries make up for it, and only the first send of a call has its prompt processed elsewhere. A restarted instance starts without credits.

--- a/src/main/java/org/lacewingstep/blackboard/AllowanceSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/AllowanceSection.java
@@ -7,29 +7,30 @@
 import org.lacewingstep.domain.AllowanceBucket;
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.RetryBudget;
+import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.TeamName;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
 /**
- * The rate-limit buckets of teams and the retry budget, with the spending at this and the other instances.
+ * The rate-limit buckets of teams and the retry budgets of services, with the spending at this and the other instances.
  *
  * @param tableRevision the store's revision of the routing table that the buckets were created for
  * @param teams the bucket of each team with a limit, debited by the spending of all instances, not null
- * @param retryBudget the retry budget of this instance, not null
+ * @param retryBudgets the retry budget of each service at this instance, not null
  * @param spent the spending of each team at this instance, not null
  * @param peers the last reported spending at each other instance, not null
  */
 public record AllowanceSection(
         long tableRevision,
         PMap<TeamName, AllowanceBucket> teams,
-        RetryBudget retryBudget,
+        PMap<ServiceName, RetryBudget> retryBudgets,
         PMap<TeamName, Spending> spent,
         PMap<InstanceName, PeerSpending> peers)
         implements ServingSection {
     /** The initial section of a process. */
-    public static final AllowanceSection INITIAL =
-            new AllowanceSection(0, HashTreePMap.empty(), RetryBudget.NONE, HashTreePMap.empty(), HashTreePMap.empty());
+    public static final AllowanceSection INITIAL = new AllowanceSection(
+            0, HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty());
 
     /**
      * The spending of a team at this instance.
@@ -69,17 +70,18 @@
      * @return the copy, never null
      */
     public AllowanceSection withTeams(final long nextRevision, final PMap<TeamName, AllowanceBucket> nextTeams) {
-        return new AllowanceSection(nextRevision, nextTeams, retryBudget, spent, peers);
+        return new AllowanceSection(nextRevision, nextTeams, retryBudgets, spent, peers);
     }
 
     /**
      * Copies the section with another retry budget.
      *
+     * @param service the service of the budget, not null
      * @param nextBudget the retry budget, not null
      * @return the copy, never null
      */
-    public AllowanceSection withRetryBudget(final RetryBudget nextBudget) {
-        return new AllowanceSection(tableRevision, teams, nextBudget, spent, peers);
+    public AllowanceSection withRetryBudget(final ServiceName service, final RetryBudget nextBudget) {
+        return new AllowanceSection(tableRevision, teams, retryBudgets.plus(service, nextBudget), spent, peers);
     }
 
     /**
@@ -89,7 +91,7 @@
      * @return the copy, never null
      */
     public AllowanceSection withSpent(final PMap<TeamName, Spending> nextSpent) {
-        return new AllowanceSection(tableRevision, teams, retryBudget, nextSpent, peers);
+        return new AllowanceSection(tableRevision, teams, retryBudgets, nextSpent, peers);
     }
 
     /**
@@ -99,6 +101,6 @@
      * @return the copy, never null
      */
     public AllowanceSection withPeers(final PMap<InstanceName, PeerSpending> nextPeers) {
-        return new AllowanceSection(tableRevision, teams, retryBudget, spent, nextPeers);
+        return new AllowanceSection(tableRevision, teams, retryBudgets, spent, nextPeers);
     }
 }
--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -378,20 +378,13 @@
      */
     record UpstreamReleased(UpstreamName upstream, long tokens, Optional<CallResult> result) implements Event {}
 
-    /**
-     * A call spends units of its team's rate limit.
-     *
-     * @param team the team, not null
-     * @param units the number of units
-     */
-    record AllowanceSpent(TeamName team, long units) implements Event {}
-
     /** The other instances need a report of this instance soon. */
     record LoadReportRequested() implements Event {}
 
-    /** A call is being sent to an upstream for the first time. */
-    record FirstSend() implements Event {}
-
-    /** A call is being sent to an upstream again, as a retry. */
-    record RetrySend() implements Event {}
+    /**
+     * A call changes what is left of a limit.
+     *
+     * @param change the change, not null
+     */
+    record AllowanceChanged(AllowanceChange change) implements Event {}
 }
--- a/src/main/java/org/lacewingstep/controller/AllowanceController.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceController.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 
+import org.lacewingstep.blackboard.AllowanceChange;
 import org.lacewingstep.blackboard.AllowanceSection;
 import org.lacewingstep.blackboard.AllowanceSection.PeerSpending;
 import org.lacewingstep.blackboard.AllowanceSection.Spending;
@@ -16,11 +18,13 @@
 import org.lacewingstep.domain.AllowanceBucket;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
+import org.lacewingstep.domain.RetryBudget;
+import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.TeamName;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
-/** Debits the bucket of each team for units spent at any instance, and the retry budget of this instance. */
+/** Debits the bucket of each team for units spent at any instance, and the retry budgets of this instance. */
 public final class AllowanceController implements Controller<AllowanceSection> {
     /** How long the sums of an absent instance are kept after its last report; longer than usual network partitions. */
     private static final Duration PEER_RETENTION = Duration.ofMinutes(5);
@@ -35,13 +39,7 @@
         final AllowanceSection section = board.serving().allowances();
         return Outcome.of(
                 switch (event) {
-                    case Event.AllowanceSpent(TeamName team, long units) -> withOwnSpending(board, team, units, now);
-                    case Event.FirstSend() ->
-                        section.withRetryBudget(
-                                AllowanceShare.retryBudget(board, now).earn(AllowanceShare.retriesPerFirstSend(board)));
-                    case Event.RetrySend() ->
-                        section.withRetryBudget(
-                                AllowanceShare.retryBudget(board, now).spend());
+                    case Event.AllowanceChanged(AllowanceChange change) -> withChange(board, change, now);
                     case Event.PeerLoadReported(Incarnation sender, PeerMessage.SiteLoad load) ->
                         withPeerSpending(board, sender, load.spent(), now);
                     case Event.StoreRead read -> withBucketsForTable(board, now);
@@ -51,6 +49,35 @@
                 });
     }
 
+    private static AllowanceSection withChange(
+            final Blackboard board, final AllowanceChange change, final Instant now) {
+        return switch (change) {
+            case AllowanceChange.Spent(TeamName team, long units) -> withOwnSpending(board, team, units, now);
+            case AllowanceChange.FirstSend(ServiceName service) ->
+                withRetryBudget(board, service, budget -> budget.earn(AllowanceShare.retriesPerFirstSend(board)), now);
+            case AllowanceChange.RetryReserved(ServiceName service) ->
+                withRetryBudget(board, service, RetryBudget::reserve, now);
+            case AllowanceChange.RetrySent(ServiceName service) ->
+                withRetryBudget(board, service, RetryBudget::send, now);
+            case AllowanceChange.RetryUnsent(ServiceName service) ->
+                withRetryBudget(board, service, RetryBudget::undoSend, now);
+            case AllowanceChange.RetryReturned(ServiceName service) ->
+                withRetryBudget(board, service, RetryBudget::giveBack, now);
+            case AllowanceChange.UncountedRetry(ServiceName service) ->
+                withRetryBudget(board, service, RetryBudget::charge, now);
+        };
+    }
+
+    private static AllowanceSection withRetryBudget(
+            final Blackboard board,
+            final ServiceName service,
+            final UnaryOperator<RetryBudget> change,
+            final Instant now) {
+        return board.serving()
+                .allowances()
+                .withRetryBudget(service, change.apply(AllowanceShare.retryBudget(board, service, now)));
+    }
+
     /** Computes all buckets for a new routing table, so that a bucket starts to fill before the first request. */
     private static AllowanceSection withBucketsForTable(final Blackboard board, final Instant now) {
         final AllowanceSection section = withoutExpiredPeers(board, now);
--- a/src/main/java/org/lacewingstep/controller/AllowanceShare.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceShare.java
@@ -14,6 +14,7 @@
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.RetryBudget;
+import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.SitePolicy;
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
@@ -95,18 +96,19 @@
     }
 
     /**
-     * Computes the current retry budget of this instance.
+     * Computes the current retry budget of a service at this instance. A restarted instance starts without credits.
      *
      * @param board the blackboard, not null
+     * @param service the service, not null
      * @param now the present time, not null
      * @return the retry budget, never null
      */
-    static RetryBudget retryBudget(final Blackboard board, final Instant now) {
+    static RetryBudget retryBudget(final Blackboard board, final ServiceName service, final Instant now) {
         final SitePolicy policy = board.serving().site().bounds();
-        return board.serving()
-                .allowances()
-                .retryBudget()
+        final RetryBudget known = board.serving().allowances().retryBudgets().get(service);
+        final RetryBudget budget = (known == null ? RetryBudget.NONE : known)
                 .withAllowance(policy.retrySlack() * instanceShare(board), policy.retryWindow(), now);
+        return known == null && !board.serving().site().firstStart() ? budget.withoutCredits() : budget;
     }
 
     /**
--- a/src/main/java/org/lacewingstep/controller/AttemptReplacement.java
+++ b/src/main/java/org/lacewingstep/controller/AttemptReplacement.java
@@ -41,12 +41,13 @@
         }
         final RegisteredUpstream replacement = chosen.get();
         builder.add(new Event.UpstreamOccupied(replacement, call.tokens()));
+        final Call replacing = call.withPhase(new CallPhase.Replacing(stalled, replacement.name()));
+        RetryCharge.move(call, Optional.of(replacing), builder);
         if (!ReservationRequest.isNeeded(board, call, replacement)) {
             return send(board, call, stalled, replacement, builder, now);
         }
         builder.add(ReservationRequest.create(board, call, replacement));
-        return builder.outcome(CallController.with(
-                board.serving().calls(), call.withPhase(new CallPhase.Replacing(stalled, replacement.name()))));
+        return builder.outcome(CallController.with(board.serving().calls(), replacing));
     }
 
     /**
--- a/src/main/java/org/lacewingstep/controller/CallCompletion.java
+++ b/src/main/java/org/lacewingstep/controller/CallCompletion.java
@@ -50,7 +50,7 @@
                 instruct(board, call, new CallInstruction.ForwardFailure(), builder, result, Optional.empty());
             case CallResult.FailedByUpstream failed ->
                 retryOrInstruct(board, call, new CallInstruction.ForwardFailure(), builder, result, now);
-            case CallResult.NotRun(boolean reached) -> handleNotRun(board, call, reached, builder, now);
+            case CallResult.NotRun notRun -> handleNotRun(board, call, notRun, builder, now);
             case CallResult.Broken broken -> retryOrInstruct(board, call, failure(broken), builder, result, now);
         };
     }
@@ -155,13 +155,13 @@
     private static Outcome<CallSection> handleNotRun(
             final Blackboard board,
             final Call call,
-            final boolean reached,
+            final CallResult.NotRun result,
             final OutcomeBuilder builder,
             final Instant now) {
-        final Call counted = reached ? call : withoutLastAttempt(call);
+        final Call counted = result.reached() ? call : RetryCharge.withoutLastAttempt(call, now, builder);
         final Optional<String> obstacle = retryObstacle(board, counted, false, now);
         if (obstacle.isEmpty()) {
-            return retry(board, counted, false, builder, new CallResult.NotRun(reached), now);
+            return retry(board, counted, false, builder, result, now);
         }
         final CallInstruction instruction = call.mayHaveRun()
                 ? new CallInstruction.Fail(ErrorCode.UPSTREAM_FAILED, "the upstreams failed")
@@ -169,12 +169,7 @@
                         ErrorCode.NO_CAPACITY,
                         "the upstream did not take the request",
                         CallPlacement.returnDelay(call, now)));
-        return instruct(board, call, instruction, builder, new CallResult.NotRun(reached), obstacle);
-    }
-
-    /** Subtracts an attempt that never reached its upstream, since such an attempt does not count as a send. */
-    private static Call withoutLastAttempt(final Call call) {
-        return call.with(call.attempts() - 1, call.tried(), call.promptReadyAt(), call.mayHaveRun(), call.phase());
+        return instruct(board, counted, instruction, builder, result, obstacle);
     }
 
     /** Releases a broken attempt; the call is sent to the replacement once memory is reserved there. */
@@ -229,7 +224,9 @@
                 && PromptQuarantine.findForRetry(board, call.parameters(), now).isPresent()) {
             return Optional.of("prompt quarantined");
         }
-        if (call.attempts() > 0 && !AllowanceShare.retryBudget(board, now).permitsRetry()) {
+        if (call.attempts() > 0
+                && !RetryCharge.isHeld(call)
+                && !AllowanceShare.retryBudget(board, call.service(), now).permitsRetry()) {
             return Optional.of("retry budget spent");
         }
         return now.isBefore(call.deadline()) ? Optional.empty() : Optional.of("deadline");
@@ -249,6 +246,7 @@
                 hasRun ? Optional.empty() : call.promptReadyAt(),
                 call.mayHaveRun() || hasRun,
                 new CallPhase.Queued(now.plus(CallPlacement.queueWaitLimit(call, now))));
+        RetryCharge.move(call, Optional.of(queued), builder);
         return CallPlacement.place(board, queued, builder, now);
     }
 
@@ -290,6 +288,7 @@
                 Input.of("attempts", call.attempts()),
                 Input.of("tried", call.tried()))));
         builder.add(new Effect.InstructCall(call.parameters().request(), instruction));
+        RetryCharge.move(call, Optional.empty(), builder);
         return builder.outcome(CallController.without(board.serving().calls(), call));
     }
 
@@ -317,6 +316,7 @@
                 Input.of(
                         "took_ms",
                         Duration.between(call.parameters().receivedAt(), now).toMillis()))));
+        RetryCharge.move(call, Optional.empty(), builder);
         return builder.outcome(CallController.without(board.serving().calls(), call));
     }
 }
--- a/src/main/java/org/lacewingstep/controller/CallController.java
+++ b/src/main/java/org/lacewingstep/controller/CallController.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.lacewingstep.blackboard.AllowanceChange;
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallInstruction;
 import org.lacewingstep.blackboard.CallParameters;
@@ -180,6 +181,9 @@
                     Input.of("prefill_upstream", prefill.get()),
                     Input.of("result", result))));
         }
+        if (result instanceof CallResult.NotRun(boolean reached) && reached) {
+            builder.add(new Event.AllowanceChanged(new AllowanceChange.UncountedRetry(call.service())));
+        }
         final Call updated = call.with(
                 call.attempts(),
                 call.tried(),
@@ -194,6 +198,7 @@
         CallCompletion.releaseUpstreams(call, Optional.empty(), builder);
         builder.add(new Effect.Log(Decision.on(
                 "answer", call.parameters().request(), "caller left", Input.of("attempts", call.attempts()))));
+        RetryCharge.move(call, Optional.empty(), builder);
         return builder.outcome(without(board.serving().calls(), call));
     }
 
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.lacewingstep.blackboard.AllowanceChange;
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallInstruction;
 import org.lacewingstep.blackboard.CallResult;
@@ -127,7 +128,9 @@
                     yield AttemptReplacement.send(board, call, stalled, upstream.get(), builder, now);
                 }
                 rejectReservation(board, call, name, result, builder, now);
-                yield builder.outcome(CallController.with(board.serving().calls(), call.withPhase(stalled)));
+                final Call continued = call.withPhase(stalled);
+                RetryCharge.move(call, Optional.of(continued), builder);
+                yield builder.outcome(CallController.with(board.serving().calls(), continued));
             }
             case CallPhase.Queued queued -> builder.outcome(board.serving().calls());
             case CallPhase.Sent sent -> builder.outcome(board.serving().calls());
@@ -267,6 +270,7 @@
                 call.mayHaveRun()
                         ? new CallInstruction.Fail(ErrorCode.UPSTREAM_FAILED, refusal.message())
                         : new CallInstruction.Refuse(refusal)));
+        RetryCharge.move(call, Optional.empty(), builder);
         return builder.outcome(CallController.without(board.serving().calls(), call));
     }
 
@@ -292,10 +296,12 @@
         final int attempt = call.attempts() + 1;
         prefill.ifPresent(chosen -> builder.add(new Event.UpstreamOccupied(chosen, call.tokens())));
         if (call.tried().isEmpty()) {
-            builder.add(new Event.FirstSend());
-            call.team().ifPresent(team -> builder.add(new Event.AllowanceSpent(team, call.units())));
+            builder.add(new Event.AllowanceChanged(new AllowanceChange.FirstSend(call.service())));
+            call.team()
+                    .ifPresent(team ->
+                            builder.add(new Event.AllowanceChanged(new AllowanceChange.Spent(team, call.units()))));
         } else if (attempt > 1) {
-            builder.add(new Event.RetrySend());
+            builder.add(new Event.AllowanceChanged(new AllowanceChange.RetrySent(call.service())));
         }
         builder.add(new Effect.Log(Decision.on(
                 "placement",
@@ -356,7 +362,7 @@
 
     private static Optional<RegisteredUpstream> choosePrefill(
             final Blackboard board, final Call call, final RegisteredUpstream upstream, final Instant now) {
-        if (upstream.role() != UpstreamRole.DECODE || call.attempts() > 0) {
+        if (upstream.role() != UpstreamRole.DECODE || !call.tried().isEmpty()) {
             return Optional.empty();
         }
         return UpstreamChoice.choose(board, call, Set.of(UpstreamRole.PREFILL), upstream.failureDomain(), now);
--- a/src/main/java/org/lacewingstep/etcd/OuterNames.java
+++ b/src/main/java/org/lacewingstep/etcd/OuterNames.java
@@ -50,7 +50,7 @@
 
     private interface AllowanceSectionNames {
         @JsonProperty("repeats")
-        Object retryBudget();
+        Object retryBudgets();
     }
 
     private interface AwaitingPlacementNames {
--- a/src/test/java/org/lacewingstep/controller/StalledAttemptTest.java
+++ b/src/test/java/org/lacewingstep/controller/StalledAttemptTest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
+import org.lacewingstep.blackboard.AllowanceChange;
 import org.lacewingstep.blackboard.CallInstruction.Fail;
 import org.lacewingstep.blackboard.CallInstruction.Reserve;
 import org.lacewingstep.blackboard.CallInstruction.Send;
@@ -64,7 +65,7 @@
     @Test
     void silentAttemptContinuesWhileTheRetryBudgetIsSpent() {
         for (int i = 0; i < 200; i++) {
-            site.step(new Event.RetrySend());
+            site.step(new Event.AllowanceChanged(new AllowanceChange.RetryReserved(SiteFixture.ENGINES)));
         }
         final RequestIdentifier request = startStream();
         final Send only = site.lastSend(request);
--- a/src/test/java/org/lacewingstep/domain/RetryBudgetTest.java
+++ b/src/test/java/org/lacewingstep/domain/RetryBudgetTest.java
@@ -30,7 +30,7 @@
             budget = budget.withAllowance(ALLOWANCE, WINDOW, now).earn(EARNED_SHARE);
             firstAttempts.add(now);
             if (budget.permitsRetry()) {
-                budget = budget.spend();
+                budget = budget.reserve().send();
                 retries.add(now);
             }
         }
@@ -45,6 +45,30 @@
         }
     }
 
+    /** Retries that were decided before a window and sent in it take the place of those that it could decide. */
+    @Property(seed = "42")
+    void retriesThatWaitedAreBoundedInEveryWindow(@ForAll @Size(min = 1, max = 300) final int[] pauses) {
+        RetryBudget budget = RetryBudget.NONE.withAllowance(ALLOWANCE, WINDOW, Instant.EPOCH);
+        Instant now = Instant.EPOCH;
+        final List<Instant> retries = new ArrayList<>();
+        for (final int pause : pauses) {
+            now = now.plusMillis(Math.floorMod(pause, 400));
+            budget = budget.withAllowance(ALLOWANCE, WINDOW, now);
+            budget = budget.permitsRetry() ? budget.reserve() : budget;
+            if (budget.reserved() > 0 && now.toEpochMilli() % 8000 > 6000) {
+                budget = budget.send();
+                retries.add(now);
+            }
+        }
+        for (final Instant start : retries) {
+            final Instant end = start.plus(WINDOW);
+            assertThat((double) retries.stream()
+                            .filter(at -> isWithin(at, start, end))
+                            .count())
+                    .isLessThanOrEqualTo(ALLOWANCE + 1e-6);
+        }
+    }
+
     @Property(seed = "42")
     void timeAddsNoMoreThanTheCapacity(@ForAll @IntRange(max = 1000) final int seconds) {
         final RetryBudget budget = RetryBudget.NONE
