--- a/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
@@ -93,6 +93,7 @@
         return isAvailable(board, call, entry, now)
                 && !call.tried().contains(upstream.name())
                 && UpstreamRoom.hasCapacity(board, call, upstream, now)
+                && PlainRoom.hasPlace(board, call, upstream, now)
                 && UpstreamRoom.isWithinColdStartLimit(board, upstream, alternatives, now);
     }
 
--- a/src/main/java/org/lacewingstep/controller/UpstreamCost.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamCost.java
@@ -61,7 +61,8 @@
     /**
      * Forecasts the requests that run at an upstream. Where reports arrive later than the reported requests end, all
      * instances would choose the upstream that was free when they were sent. There the requests of the other instances
-     * follow from the rate at which they arrive, or, for plain calls, which have few upstreams, from chance.
+     * follow from the rate at which they arrive. Plain calls, which have few upstreams, are spread by own sends and
+     * chance.
      */
     private static double requests(
             final Blackboard board, final Call call, final RegisteredUpstream upstream, final Instant now) {
@@ -73,7 +74,11 @@
         final int own = load.running().requests();
         return switch (upstream.role()) {
             case DECODE -> use.requests();
-            case PLAIN -> own - 1 - Math.log(Math.max(MIN_CHANCE, UpstreamChoice.tieBreak(call, upstream.name())));
+            case PLAIN ->
+                own
+                        + load.recentArrivals(now)
+                        - 1
+                        - Math.log(Math.max(MIN_CHANCE, 1 - UpstreamChoice.tieBreak(call, upstream.name())));
             case PREFILL ->
                 own
                         + (use.arrivals() + load.recentArrivals(now))
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -208,9 +208,18 @@
      */
     private static Load withRefusal(final Load load, final Instant now) {
         final int refusals = load.refusalsInRow() + 1;
-        final Duration backoff = REFUSAL_BACKOFF.multipliedBy(1L << Math.min(MAX_REFUSAL_DOUBLINGS, refusals - 1));
         return load.withHealth(load.failureShare(), load.failuresInRow(), refusals, load.avoidUntil())
-                .withBackOff(now.plus(backoff));
+                .withBackOff(now.plus(refusalBackOff(refusals)));
+    }
+
+    /**
+     * Computes the back-off after refusals.
+     *
+     * @param refusals the number of refusals in a row, one or more
+     * @return the back-off, never null
+     */
+    static Duration refusalBackOff(final int refusals) {
+        return REFUSAL_BACKOFF.multipliedBy(1L << Math.min(MAX_REFUSAL_DOUBLINGS, refusals - 1));
     }
 
     private static double raisedFailureShare(final Load load) {
--- a/src/main/java/org/lacewingstep/placement/UpstreamForecast.java
+++ b/src/main/java/org/lacewingstep/placement/UpstreamForecast.java
@@ -13,6 +13,9 @@
     /** Limit of the slowness and of its inverse; a slower upstream is still tried now and then. */
     static final double MAX_SLOWNESS = 8;
 
+    /** Fraction of a target that waiting and running at an upstream may take; the rest is for the way. */
+    private static final double ON_TIME_FRACTION = 0.8;
+
     private UpstreamForecast() {}
 
     /**
@@ -57,4 +60,18 @@
             final double running, final double units, final int slots, final double secondsPerUnit) {
         return secondsPerUnit * Math.max(units, (running + units) / slots);
     }
+
+    /**
+     * Computes how many calls an upstream may hold so that the last one completes on time.
+     *
+     * @param slots the number of calls that run at the same time, positive
+     * @param secondsPerCall the time for one call, zero if unknown
+     * @param targetSeconds the time within which a response counts as on time, positive
+     * @return the number of calls, at least the slots
+     */
+    public static double callsOnTime(final int slots, final double secondsPerCall, final double targetSeconds) {
+        return secondsPerCall <= 0
+                ? Double.MAX_VALUE
+                : slots * Math.max(1, ON_TIME_FRACTION * targetSeconds / secondsPerCall);
+    }
 }
