Weigh the beginnings of prompts that engines probably keep

Requests that share the beginning of a prompt were spread without regard to which engine has read it. Each instance now records by start of an engine which parts it has sent there, drops what yields to later prompts, and subtracts from the cost the part of the time that need not be spent on reading. The saving is less than one request, so an engine with a queue is not preferred for it. A prompt that takes as long as a whole one ends the belief. Without parts of prompts, or for services without memory, the choice stays as it was.

--- /dev/null
+++ b/src/main/java/org/lacewingstep/blackboard/LearnedSection.java
@@ -0,0 +1,4 @@
+package org.lacewingstep.blackboard;
+
+/** A section for what this instance has learned about upstreams from their responses. */
+public sealed interface LearnedSection extends ServingSection permits KeptPromptSection, SpeedSection {}
--- a/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
@@ -19,7 +19,7 @@
  * @param relay what this instance passes on between the store and other instances, not null
  * @param prompts the parts of prompts that are suspected of crashing upstreams, not null
  * @param notices what upstreams have announced in their responses, not null
- * @param speeds the measured speeds of upstreams, not null
+ * @param learned what this instance has learned about upstreams, not null
  */
 public record ServingBoard(
         SiteSection site,
@@ -32,7 +32,7 @@
         RelaySection relay,
         PromptSection prompts,
         UpstreamNoticeSection notices,
-        SpeedSection speeds) {
+        LearnedBoard learned) {
     /** The initial sections of a process. */
     public static final ServingBoard INITIAL = new ServingBoard(
             SiteSection.INITIAL,
@@ -45,7 +45,7 @@
             RelaySection.INITIAL,
             PromptSection.INITIAL,
             UpstreamNoticeSection.INITIAL,
-            SpeedSection.INITIAL);
+            LearnedBoard.INITIAL);
 
     /** Checks that every section is present. */
     public ServingBoard {
@@ -59,7 +59,7 @@
         Validate.notNull(relay, "relay");
         Validate.notNull(prompts, "prompts");
         Validate.notNull(notices, "notices");
-        Validate.notNull(speeds, "speeds");
+        Validate.notNull(learned, "learned");
     }
 
     /**
@@ -72,35 +72,46 @@
         return switch (section) {
             case SiteSection next ->
                 new ServingBoard(
-                        next, routing, registry, allowances, loads, calls, roles, relay, prompts, notices, speeds);
+                        next, routing, registry, allowances, loads, calls, roles, relay, prompts, notices, learned);
             case RoutingSection next ->
                 new ServingBoard(
-                        site, next, registry, allowances, loads, calls, roles, relay, prompts, notices, speeds);
+                        site, next, registry, allowances, loads, calls, roles, relay, prompts, notices, learned);
             case RegistrySection next ->
-                new ServingBoard(site, routing, next, allowances, loads, calls, roles, relay, prompts, notices, speeds);
+                new ServingBoard(
+                        site, routing, next, allowances, loads, calls, roles, relay, prompts, notices, learned);
             case AllowanceSection next ->
-                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts, notices, speeds);
+                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts, notices, learned);
             case UpstreamLoadSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, next, calls, roles, relay, prompts, notices, speeds);
+                        site, routing, registry, allowances, next, calls, roles, relay, prompts, notices, learned);
             case CallSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, next, roles, relay, prompts, notices, speeds);
+                        site, routing, registry, allowances, loads, next, roles, relay, prompts, notices, learned);
             case RoleSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, calls, next, relay, prompts, notices, speeds);
+                        site, routing, registry, allowances, loads, calls, next, relay, prompts, notices, learned);
             case RelaySection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, calls, roles, next, prompts, notices, speeds);
+                        site, routing, registry, allowances, loads, calls, roles, next, prompts, notices, learned);
             case PromptSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, calls, roles, relay, next, notices, speeds);
+                        site, routing, registry, allowances, loads, calls, roles, relay, next, notices, learned);
             case UpstreamNoticeSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, calls, roles, relay, prompts, next, speeds);
-            case SpeedSection next ->
+                        site, routing, registry, allowances, loads, calls, roles, relay, prompts, next, learned);
+            case LearnedSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, calls, roles, relay, prompts, notices, next);
+                        site,
+                        routing,
+                        registry,
+                        allowances,
+                        loads,
+                        calls,
+                        roles,
+                        relay,
+                        prompts,
+                        notices,
+                        learned.with(next));
         };
     }
 
--- a/src/main/java/org/lacewingstep/blackboard/ServingSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingSection.java
@@ -4,12 +4,12 @@
 public sealed interface ServingSection extends Section
         permits AllowanceSection,
                 CallSection,
+                LearnedSection,
                 PromptSection,
                 RegistrySection,
                 RelaySection,
                 RoleSection,
                 RoutingSection,
                 SiteSection,
-                SpeedSection,
                 UpstreamLoadSection,
                 UpstreamNoticeSection {}
--- a/src/main/java/org/lacewingstep/blackboard/SpeedSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/SpeedSection.java
@@ -21,7 +21,7 @@
         PMap<Incarnation, PMap<SpeedKey, SpeedSum>> reports,
         PMap<SpeedKey, SpeedSum> merged,
         PMap<ServiceWork, SpeedSum> services)
-        implements ServingSection {
+        implements LearnedSection {
     /** The initial section of a process. */
     public static final SpeedSection INITIAL =
             new SpeedSection(HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty());
--- a/src/main/java/org/lacewingstep/command/PlatformProcess.java
+++ b/src/main/java/org/lacewingstep/command/PlatformProcess.java
@@ -146,6 +146,15 @@
         metrics.gauge(
                 "upstreams.paused",
                 () -> () -> control.board().serving().notices().pausedUpstreams(clock.now()));
+        metrics.gauge(
+                "prompts.kept.hits",
+                () -> () -> control.board().serving().learned().keptPrompts().hits());
+        metrics.gauge(
+                "prompts.kept.misbeliefs",
+                () -> () -> control.board().serving().learned().keptPrompts().misbeliefs());
+        metrics.gauge(
+                "prompts.kept.saved_tokens",
+                () -> () -> control.board().serving().learned().keptPrompts().savedTokens());
         dispatcher = new PlatformEffectDispatcher(
                 openCalls,
                 new PlatformStoreAdapter(client, settings.storeAddress(), clock::now, control::post, execController),
--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -32,6 +32,7 @@
             new UpstreamLoadController(),
             new UpstreamNoticeController(),
             new SpeedController(),
+            new KeptPromptController(),
             new AllowanceController(),
             new RoleController(),
             new PromptController(),
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -310,6 +310,8 @@
                 Input.of("team", call.team().map(Object::toString).orElse("none")),
                 Input.of("version", board.serving().routing().table().version()),
                 Input.of("running", board.serving().use(upstream.name(), now)),
+                Input.of("kept_tokens", (long) KeptPromptBelief.keptTokens(board, call, prefill.orElse(upstream))),
+                Input.of("forecast_wait_ms", UpstreamSpeeds.forecastMillis(board, upstream, now)),
                 Input.of("left_ms", Duration.between(now, call.deadline()).toMillis()))));
         builder.add(new Effect.InstructCall(
                 call.parameters().request(),
--- a/src/main/java/org/lacewingstep/controller/Controller.java
+++ b/src/main/java/org/lacewingstep/controller/Controller.java
@@ -17,6 +17,7 @@
                 CallController,
                 CellController,
                 ConfigurationController,
+                KeptPromptController,
                 LifecycleController,
                 MembershipController,
                 PromptController,
--- a/src/main/java/org/lacewingstep/controller/SpeedController.java
+++ b/src/main/java/org/lacewingstep/controller/SpeedController.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.CallSection.Call;
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.PeerMessage;
@@ -17,6 +18,7 @@
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.SpeedKey;
 import org.lacewingstep.domain.SpeedSum;
+import org.lacewingstep.domain.UpstreamRole;
 import org.lacewingstep.domain.UpstreamUse;
 import org.lacewingstep.domain.WorkKind;
 import org.pcollections.HashTreePMap;
@@ -40,7 +42,7 @@
 
     @Override
     public Outcome<SpeedSection> step(final Blackboard board, final Event event, final Instant now) {
-        final SpeedSection section = board.serving().speeds();
+        final SpeedSection section = board.serving().learned().speeds();
         return switch (event) {
             case Event.WorkMeasured(WorkMeasurement measurement) ->
                 Outcome.of(withMeasurement(board, section, measurement, now));
@@ -95,14 +97,20 @@
             case PLAIN_CALL ->
                 board.serving().site().isRelayed() ? 1 : Math.max(1, use.requests() / (double) upstream.slots());
             case PROMPT_TOKEN ->
-                Optional.ofNullable(board.serving().calls().calls().get(measured.request()))
-                        .map(call -> board.serving().site().isRelayed()
-                                ? call.tokens()
-                                : Math.max(call.tokens(), use.tokens()))
-                        .orElse(0L);
+                KeptPromptBelief.findCall(board, measured.request())
+                        .map(call -> promptUnits(board, call, upstream, use))
+                        .orElse(0.0);
         };
     }
 
+    private static double promptUnits(
+            final Blackboard board, final Call call, final RegisteredUpstream upstream, final UpstreamUse use) {
+        final double read = KeptPromptBelief.promptTokens(call) - KeptPromptBelief.keptTokens(board, call, upstream);
+        final boolean queues = upstream.role() == UpstreamRole.PREFILL
+                && !board.serving().site().isRelayed();
+        return queues ? Math.max(read, use.tokens()) : read;
+    }
+
     private static double seconds(final Duration duration) {
         return duration.toNanos() / 1e9;
     }
--- a/src/main/java/org/lacewingstep/controller/UpstreamCost.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamCost.java
@@ -50,7 +50,10 @@
             final Instant now) {
         final RegisteredUpstream upstream = entry.upstream();
         final Load load = load(board, upstream);
-        return UpstreamSpeeds.slowness(board, upstream, now) * (1 + requests(board, call, upstream, now))
+        return UpstreamSpeeds.slowness(board, upstream, now)
+                        * (1
+                                + requests(board, call, upstream, now)
+                                - KeptPromptBelief.savedFraction(board, call, upstream, now))
                 + FAILURE_PENALTY * load.failureShare()
                 + (upstream.failureDomain().equals(preferredDomain) ? 0 : REMOTE_DOMAIN_PENALTY)
                 + (load.avoidUntil().isAfter(now) ? BACKOFF_PENALTY : 0)
--- a/src/main/java/org/lacewingstep/controller/UpstreamSpeeds.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamSpeeds.java
@@ -36,7 +36,8 @@
      */
     static double slowness(final Blackboard board, final RegisteredUpstream upstream, final Instant now) {
         return UpstreamForecast.slowness(
-                sum(board, upstream, kind(upstream.role()), now), serviceSum(board, upstream, now));
+                sum(board, upstream, kind(upstream.role()), now),
+                serviceSum(board, upstream, kind(upstream.role()), now));
     }
 
     /**
@@ -48,21 +49,54 @@
      * @return the seconds for a unit, zero if nothing was measured at any upstream of the service
      */
     static double secondsPerUnit(final Blackboard board, final RegisteredUpstream upstream, final Instant now) {
-        return UpstreamForecast.secondsPerUnit(
-                sum(board, upstream, kind(upstream.role()), now), serviceSum(board, upstream, now));
+        return secondsPerUnit(board, upstream, kind(upstream.role()), now);
     }
 
-    private static SpeedSum serviceSum(final Blackboard board, final RegisteredUpstream upstream, final Instant now) {
+    /**
+     * Computes the time that an upstream needs for a unit of work.
+     *
+     * @param board the blackboard, not null
+     * @param upstream the upstream, not null
+     * @param kind the kind of work, not null
+     * @param now the present time, not null
+     * @return the seconds for a unit, zero if nothing was measured at any upstream of the service
+     */
+    static double secondsPerUnit(
+            final Blackboard board, final RegisteredUpstream upstream, final WorkKind kind, final Instant now) {
+        return UpstreamForecast.secondsPerUnit(sum(board, upstream, kind, now), serviceSum(board, upstream, kind, now));
+    }
+
+    /**
+     * Forecasts how long an upstream needs for the requests that run there, with the measured time of one unit each.
+     *
+     * @param board the blackboard, not null
+     * @param upstream the upstream, not null
+     * @param now the present time, not null
+     * @return the time in milliseconds
+     */
+    static long forecastMillis(final Blackboard board, final RegisteredUpstream upstream, final Instant now) {
+        return (long) (1000
+                * UpstreamForecast.completion(
+                        board.serving().use(upstream.name(), now).requests(),
+                        1,
+                        upstream.slots(),
+                        secondsPerUnit(board, upstream, now)));
+    }
+
+    private static SpeedSum serviceSum(
+            final Blackboard board, final RegisteredUpstream upstream, final WorkKind kind, final Instant now) {
         return board.serving()
+                .learned()
                 .speeds()
                 .services()
-                .getOrDefault(new ServiceWork(upstream.service(), kind(upstream.role())), SpeedSum.NONE)
+                .getOrDefault(new ServiceWork(upstream.service(), kind), SpeedSum.NONE)
                 .at(now);
     }
 
     private static SpeedSum sum(
             final Blackboard board, final RegisteredUpstream upstream, final WorkKind kind, final Instant now) {
         return board.serving()
+                .learned()
                 .speeds()
                 .merged()
                 .getOrDefault(
@@ -88,7 +122,7 @@
      */
     static Map<SpeedKey, SpeedSum> reported(final Blackboard board, final Instant now) {
         final Instant oldest = now.minus(REPORT_PERIOD);
-        return board.serving().speeds().own().entrySet().stream()
+        return board.serving().learned().speeds().own().entrySet().stream()
                 .filter(entry -> entry.getValue().at().isAfter(oldest))
                 .sorted(Comparator.comparing((Map.Entry<SpeedKey, SpeedSum> entry) ->
                                 entry.getValue().at())
--- a/src/main/java/org/lacewingstep/placement/UpstreamForecast.java
+++ b/src/main/java/org/lacewingstep/placement/UpstreamForecast.java
@@ -74,4 +74,26 @@
                 ? Double.MAX_VALUE
                 : slots * Math.max(1, ON_TIME_FRACTION * targetSeconds / secondsPerCall);
     }
+
+    /**
+     * Computes the fraction of a call's time that an engine spends on reading some tokens of the prompt.
+     *
+     * @param tokens the tokens, not negative
+     * @param prompt the tokens of the whole prompt, not negative
+     * @param output the permitted output in tokens, not negative
+     * @param secondsPerToken the time for a prompt token, zero if unknown
+     * @param secondsPerEvent the time for an event of the output, zero if unknown
+     * @return the fraction, from 0 to 1; zero if a speed is unknown
+     */
+    public static double readingFraction(
+            final double tokens,
+            final double prompt,
+            final double output,
+            final double secondsPerToken,
+            final double secondsPerEvent) {
+        if (secondsPerToken <= 0 || secondsPerEvent <= 0) {
+            return 0;
+        }
+        return tokens * secondsPerToken / (prompt * secondsPerToken + output * secondsPerEvent);
+    }
 }
--- a/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformProtocol.java
@@ -29,6 +29,7 @@
 import org.lacewingstep.domain.KeyDigest;
 import org.lacewingstep.domain.PeerAddress;
 import org.lacewingstep.domain.PromptPart;
+import org.lacewingstep.domain.PromptSegment;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.TokenDemand;
@@ -90,20 +91,23 @@
     private static final Duration DEFAULT_WAIT_LIMIT = Duration.ofHours(1);
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final Pattern PROMPT_PREFIX_ENTRY = Pattern.compile("\\s*([0-9A-Fa-f]{1,64}):\\d{1,9}\\s*");
+    private static final Pattern PROMPT_PREFIX_ENTRY = Pattern.compile("\\s*([0-9A-Fa-f]{1,64}):(\\d{1,9})\\s*");
     private static final int HTTP_MISDIRECTED_REQUEST = 421;
     private static final double MILLISECONDS_PER_SECOND = 1000;
 
     @Override
     public CallParameters decodeRequest(
             final RequestIdentifier request, final CallerRequest callerRequest, final Instant now) {
+        final List<PromptSegment> segments =
+                promptSegments(callerRequest.headers().get(PROMPT_PREFIX));
         return new CallParameters(
                 request,
                 host(callerRequest),
                 callerRequest.path(),
                 Optional.ofNullable(callerRequest.headers().get(API_KEY)).map(KeyDigest::of),
                 tokenDemand(callerRequest.headers().get(TOKEN_COUNT)),
-                sharedPromptParts(callerRequest.headers().get(PROMPT_PREFIX)),
+                sharedPromptParts(segments),
+                segments,
                 waitLimit(callerRequest.headers().get(DEADLINE)),
                 now);
     }
@@ -291,23 +295,30 @@
         return Optional.of(new TokenDemand(Long.parseLong(parts[0].trim()), Long.parseLong(parts[1].trim())));
     }
 
-    /**
-     * Parses the parts of the prompt without the last one, which belongs to the request or its session alone. Their
-     * number is bounded by the size of the request's head only, as any of them may crash upstreams.
-     */
-    private static List<PromptPart> sharedPromptParts(final String header) {
+    /** Parses the parts of the prompt and their lengths; their number is bounded by the size of the head only. */
+    private static List<PromptSegment> promptSegments(final String header) {
         if (header == null) {
             return List.of();
         }
-        final List<PromptPart> parts = new ArrayList<>();
+        final List<PromptSegment> segments = new ArrayList<>();
         for (final String entry : header.split(",", -1)) {
             final Matcher matcher = PROMPT_PREFIX_ENTRY.matcher(entry);
             if (!matcher.matches()) {
                 return List.of();
             }
-            parts.add(new PromptPart(matcher.group(1).toLowerCase(Locale.ROOT)));
+            segments.add(new PromptSegment(
+                    new PromptPart(matcher.group(1).toLowerCase(Locale.ROOT)), Long.parseLong(matcher.group(2))));
         }
-        return parts.subList(0, parts.size() - 1).stream().distinct().toList();
+        return segments;
+    }
+
+    /** Lists the parts without the last one, which belongs to the request or its session alone. */
+    private static List<PromptPart> sharedPromptParts(final List<PromptSegment> segments) {
+        return segments.stream()
+                .limit(Math.max(0, segments.size() - 1))
+                .map(PromptSegment::part)
+                .distinct()
+                .toList();
     }
 
     private static Duration waitLimit(final String header) {
--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -289,7 +289,11 @@
 
     private void forward(final ByteBuf events) {
         exchange.restartTimeouts();
+        final boolean first = timer.progress().isEmpty();
         final Instant arrivedAt = timer.recordEvents(relay.events());
+        if (first && currentAttempt.prefill().isEmpty() && !currentAttempt.usesKeptPrompt()) {
+            timer.postPrompt(currentAttempt.upstream());
+        }
         if (stream == null) {
             stream = new ResponseStream(autoRead -> exchange.setAutoRead(autoRead), this::abandon, channel::close);
             openCalls.metrics().recordFirstEvent(Duration.between(receivedAt, arrivedAt));
--- a/src/test/java/org/lacewingstep/controller/SpeedControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/SpeedControllerTest.java
@@ -164,6 +164,7 @@
     private static SpeedSum merged(final SiteFixture site, final UpstreamName name) {
         return site.board()
                 .serving()
+                .learned()
                 .speeds()
                 .merged()
                 .get(new SpeedKey(new UpstreamStart(name, 1), WorkKind.PLAIN_CALL));
