--- a/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
+++ b/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
@@ -9,10 +9,12 @@
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.CellName;
 import org.lacewingstep.domain.Configuration;
+import org.lacewingstep.domain.Demand;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.PromptPart;
 import org.lacewingstep.domain.Reservation;
 import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.ServiceUrgency;
 import org.lacewingstep.domain.SpeedKey;
 import org.lacewingstep.domain.SpeedSum;
 import org.lacewingstep.domain.TeamName;
@@ -228,6 +230,7 @@
      * @param spent units that each team with recent spending has spent at the sender since the sender started, not null
      * @param prompts the evidence on parts of prompts that are suspected of crashing upstreams, not null
      * @param leaving the starts of upstreams that have announced that they leave, not null
+     * @param queued the demand at the sender for services whose calls differ in urgency, not null
      * @param speeds the durations of work that the sender has measured lately, not null
      */
     record SiteLoad(
@@ -235,6 +238,7 @@
             Map<TeamName, Double> spent,
             Map<PromptPart, PromptEvidence> prompts,
             Set<UpstreamStart> leaving,
+            Map<ServiceUrgency, Demand> queued,
             Map<SpeedKey, SpeedSum> speeds)
             implements PeerMessage {
         /** Copies the collections. */
@@ -243,11 +247,12 @@
             spent = Map.copyOf(spent);
             prompts = Map.copyOf(prompts);
             leaving = Set.copyOf(leaving);
+            queued = Map.copyOf(queued);
             speeds = Map.copyOf(speeds);
         }
 
         /**
-         * Creates a report without measured speeds.
+         * Creates a report without demand and measured speeds.
          *
          * @param uses the sender's running requests at each upstream, not null
          * @param spent units that each team has spent at the sender since the sender started, not null
@@ -259,7 +264,7 @@
                 final Map<TeamName, Double> spent,
                 final Map<PromptPart, PromptEvidence> prompts,
                 final Set<UpstreamStart> leaving) {
-            this(uses, spent, prompts, leaving, Map.of());
+            this(uses, spent, prompts, leaving, Map.of(), Map.of());
         }
     }
 }
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -124,6 +124,7 @@
                 AllowanceShare.recentSpending(board, now),
                 PromptReports.create(board.serving().prompts(), now),
                 UpstreamAvailability.reportedLeaving(board, now),
+                DemandReports.own(board, now),
                 UpstreamSpeeds.reported(board, now));
         reportReceivers(board, now).forEach(member -> builder.add(new Effect.SendToPeer(member, message)));
         final Instant due = now.plus(SiteSection.BROADCAST_INTERVAL);
--- a/src/main/java/org/lacewingstep/peer/RecordCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RecordCodec.java
@@ -15,6 +15,7 @@
 import org.lacewingstep.blackboard.PromptEvidence;
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.CellName;
+import org.lacewingstep.domain.Demand;
 import org.lacewingstep.domain.FailureDomainName;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
@@ -24,16 +25,20 @@
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Reservation;
 import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.ServiceName;
+import org.lacewingstep.domain.ServiceUrgency;
 import org.lacewingstep.domain.SpeedKey;
 import org.lacewingstep.domain.SpeedSum;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamStart;
 import org.lacewingstep.domain.UpstreamUse;
+import org.lacewingstep.domain.Urgency;
 import org.lacewingstep.domain.WorkKind;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
 import org.lacewingstep.peer.wire.WireAttempt;
+import org.lacewingstep.peer.wire.WireDemand;
 import org.lacewingstep.peer.wire.WireMember;
 import org.lacewingstep.peer.wire.WirePromptCrash;
 import org.lacewingstep.peer.wire.WirePromptEvidence;
@@ -151,6 +156,11 @@
                     .map(start -> new WireUpstreamStart(start.upstream().value(), start.startedAtMillis()))
                     .toList());
         }
+        if (!load.queued().isEmpty()) {
+            wire.setQueued(load.queued().entrySet().stream()
+                    .map(entry -> encodeDemand(entry.getKey(), entry.getValue()))
+                    .toList());
+        }
         if (!load.speeds().isEmpty()) {
             wire.setSpeeds(load.speeds().entrySet().stream()
                     .map(entry -> encodeSpeed(entry.getKey(), entry.getValue()))
@@ -159,6 +169,16 @@
         return wire;
     }
 
+    private static WireDemand encodeDemand(final ServiceUrgency key, final Demand demand) {
+        return new WireDemand(
+                key.service().value(),
+                key.urgency().rank(),
+                demand.queued(),
+                demand.queuedTokens(),
+                demand.arrivedTokens(),
+                demand.releasedTokens());
+    }
+
     private static WireSpeed encodeSpeed(final SpeedKey key, final SpeedSum sum) {
         return new WireSpeed(
                 key.start().upstream().value(),
@@ -187,11 +207,23 @@
                     .forEach(start -> leaving.add(new UpstreamStart(
                             new UpstreamName(start.getUpstream()), start.getStartedAtMilliseconds())));
         }
+        final Map<ServiceUrgency, Demand> queued = new HashMap<>();
+        if (wire.isSetQueued()) {
+            wire.getQueued()
+                    .forEach(demand -> queued.put(
+                            new ServiceUrgency(
+                                    new ServiceName(demand.getServiceName()), Urgency.nearest(demand.getUrgency())),
+                            new Demand(
+                                    demand.getQueued(),
+                                    demand.getQueuedTokens(),
+                                    demand.getArrivedTokens(),
+                                    demand.getReleasedTokens())));
+        }
         final Map<SpeedKey, SpeedSum> speeds = new HashMap<>();
         if (wire.isSetSpeeds()) {
             wire.getSpeeds().stream().filter(RecordCodec::isKnownKind).forEach(speed -> decodeSpeed(speed, speeds));
         }
-        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving, speeds);
+        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving, queued, speeds);
     }
 
     private static boolean isKnownKind(final WireSpeed speed) {
--- a/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField SPENT_FIELD_DESC = new org.apache.thrift.protocol.TField("spent", org.apache.thrift.protocol.TType.MAP, (short)2);
   private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField QUEUED_FIELD_DESC = new org.apache.thrift.protocol.TField("queued", org.apache.thrift.protocol.TType.LIST, (short)20);
   private static final org.apache.thrift.protocol.TField SPEEDS_FIELD_DESC = new org.apache.thrift.protocol.TField("speeds", org.apache.thrift.protocol.TType.LIST, (short)21);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireSiteLoadStandardSchemeFactory();
@@ -23,6 +24,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Double> spent; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<WirePromptEvidence> prompts; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<WireUpstreamStart> leaving; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<WireDemand> queued; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<WireSpeed> speeds; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
@@ -31,6 +33,7 @@
     SPENT((short)2, "spent"),
     PROMPTS((short)3, "prompts"),
     LEAVING((short)4, "leaving"),
+    QUEUED((short)20, "queued"),
     SPEEDS((short)21, "speeds");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
@@ -55,6 +58,8 @@
           return PROMPTS;
         case 4: // LEAVING
           return LEAVING;
+        case 20: // QUEUED
+          return QUEUED;
         case 21: // SPEEDS
           return SPEEDS;
         default:
@@ -100,7 +105,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING,_Fields.SPEEDS};
+  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING,_Fields.QUEUED,_Fields.SPEEDS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -117,6 +122,9 @@
     tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireUpstreamStart.class))));
+    tmpMap.put(_Fields.QUEUED, new org.apache.thrift.meta_data.FieldMetaData("queued", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireDemand.class))));
     tmpMap.put(_Fields.SPEEDS, new org.apache.thrift.meta_data.FieldMetaData("speeds", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireSpeed.class))));
@@ -165,6 +173,13 @@
       }
       this.leaving = __this__leaving;
     }
+    if (other.isSetQueued()) {
+      java.util.List<WireDemand> __this__queued = new java.util.ArrayList<WireDemand>(other.queued.size());
+      for (WireDemand other_element : other.queued) {
+        __this__queued.add(new WireDemand(other_element));
+      }
+      this.queued = __this__queued;
+    }
     if (other.isSetSpeeds()) {
       java.util.List<WireSpeed> __this__speeds = new java.util.ArrayList<WireSpeed>(other.speeds.size());
       for (WireSpeed other_element : other.speeds) {
@@ -185,6 +200,7 @@
     this.spent = null;
     this.prompts = null;
     this.leaving = null;
+    this.queued = null;
     this.speeds = null;
   }
 
@@ -347,6 +363,47 @@
     }
   }
 
+  public int getQueuedSize() {
+    return (this.queued == null) ? 0 : this.queued.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WireDemand> getQueuedIterator() {
+    return (this.queued == null) ? null : this.queued.iterator();
+  }
+
+  public void addToQueued(WireDemand elem) {
+    if (this.queued == null) {
+      this.queued = new java.util.ArrayList<WireDemand>();
+    }
+    this.queued.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WireDemand> getQueued() {
+    return this.queued;
+  }
+
+  public WireSiteLoad setQueued(@org.apache.thrift.annotation.Nullable java.util.List<WireDemand> queued) {
+    this.queued = queued;
+    return this;
+  }
+
+  public void unsetQueued() {
+    this.queued = null;
+  }
+
+  /** Returns true if field queued is set (has been assigned a value) and false otherwise */
+  public boolean isSetQueued() {
+    return this.queued != null;
+  }
+
+  public void setQueuedIsSet(boolean value) {
+    if (!value) {
+      this.queued = null;
+    }
+  }
+
   public int getSpeedsSize() {
     return (this.speeds == null) ? 0 : this.speeds.size();
   }
@@ -423,6 +480,14 @@
       }
       break;
 
+    case QUEUED:
+      if (value == null) {
+        unsetQueued();
+      } else {
+        setQueued((java.util.List<WireDemand>)value);
+      }
+      break;
+
     case SPEEDS:
       if (value == null) {
         unsetSpeeds();
@@ -450,6 +515,9 @@
     case LEAVING:
       return getLeaving();
 
+    case QUEUED:
+      return getQueued();
+
     case SPEEDS:
       return getSpeeds();
 
@@ -473,6 +541,8 @@
       return isSetPrompts();
     case LEAVING:
       return isSetLeaving();
+    case QUEUED:
+      return isSetQueued();
     case SPEEDS:
       return isSetSpeeds();
     }
@@ -528,6 +598,15 @@
         return false;
     }
 
+    boolean this_present_queued = true && this.isSetQueued();
+    boolean that_present_queued = true && that.isSetQueued();
+    if (this_present_queued || that_present_queued) {
+      if (!(this_present_queued && that_present_queued))
+        return false;
+      if (!this.queued.equals(that.queued))
+        return false;
+    }
+
     boolean this_present_speeds = true && this.isSetSpeeds();
     boolean that_present_speeds = true && that.isSetSpeeds();
     if (this_present_speeds || that_present_speeds) {
@@ -560,6 +639,10 @@
     if (isSetLeaving())
       hashCode = hashCode * 8191 + leaving.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetQueued()) ? 131071 : 524287);
+    if (isSetQueued())
+      hashCode = hashCode * 8191 + queued.hashCode();
+
     hashCode = hashCode * 8191 + ((isSetSpeeds()) ? 131071 : 524287);
     if (isSetSpeeds())
       hashCode = hashCode * 8191 + speeds.hashCode();
@@ -615,6 +698,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetQueued(), other.isSetQueued());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQueued()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.queued, other.queued);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetSpeeds(), other.isSetSpeeds());
     if (lastComparison != 0) {
       return lastComparison;
@@ -684,6 +777,16 @@
       }
       first = false;
     }
+    if (isSetQueued()) {
+      if (!first) sb.append(", ");
+      sb.append("queued:");
+      if (this.queued == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.queued);
+      }
+      first = false;
+    }
     if (isSetSpeeds()) {
       if (!first) sb.append(", ");
       sb.append("speeds:");
@@ -816,17 +919,36 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 21: // SPEEDS
+          case 20: // QUEUED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list85 = iprot.readListBegin();
-                struct.speeds = new java.util.ArrayList<WireSpeed>(_list85.size);
-                @org.apache.thrift.annotation.Nullable WireSpeed _elem86;
+                struct.queued = new java.util.ArrayList<WireDemand>(_list85.size);
+                @org.apache.thrift.annotation.Nullable WireDemand _elem86;
                 for (int _i87 = 0; _i87 < _list85.size; ++_i87)
                 {
-                  _elem86 = new WireSpeed();
+                  _elem86 = new WireDemand();
                   _elem86.read(iprot);
-                  struct.speeds.add(_elem86);
+                  struct.queued.add(_elem86);
+                }
+                iprot.readListEnd();
+              }
+              struct.setQueuedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 21: // SPEEDS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list88 = iprot.readListBegin();
+                struct.speeds = new java.util.ArrayList<WireSpeed>(_list88.size);
+                @org.apache.thrift.annotation.Nullable WireSpeed _elem89;
+                for (int _i90 = 0; _i90 < _list88.size; ++_i90)
+                {
+                  _elem89 = new WireSpeed();
+                  _elem89.read(iprot);
+                  struct.speeds.add(_elem89);
                 }
                 iprot.readListEnd();
               }
@@ -855,9 +977,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (WireUpstreamUse _iter88 : struct.uses)
+          for (WireUpstreamUse _iter91 : struct.uses)
           {
-            _iter88.write(oprot);
+            _iter91.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -867,10 +989,10 @@
         oprot.writeFieldBegin(SPENT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE, struct.spent.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter89 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter92 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter89.getKey());
-            oprot.writeDouble(_iter89.getValue());
+            oprot.writeString(_iter92.getKey());
+            oprot.writeDouble(_iter92.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -881,9 +1003,9 @@
           oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-            for (WirePromptEvidence _iter90 : struct.prompts)
+            for (WirePromptEvidence _iter93 : struct.prompts)
             {
-              _iter90.write(oprot);
+              _iter93.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -895,9 +1017,23 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (WireUpstreamStart _iter91 : struct.leaving)
+            for (WireUpstreamStart _iter94 : struct.leaving)
+            {
+              _iter94.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.queued != null) {
+        if (struct.isSetQueued()) {
+          oprot.writeFieldBegin(QUEUED_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.queued.size()));
+            for (WireDemand _iter95 : struct.queued)
             {
-              _iter91.write(oprot);
+              _iter95.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -909,9 +1045,9 @@
           oprot.writeFieldBegin(SPEEDS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.speeds.size()));
-            for (WireSpeed _iter92 : struct.speeds)
+            for (WireSpeed _iter96 : struct.speeds)
             {
-              _iter92.write(oprot);
+              _iter96.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -949,53 +1085,65 @@
       if (struct.isSetLeaving()) {
         optionals.set(3);
       }
-      if (struct.isSetSpeeds()) {
+      if (struct.isSetQueued()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetSpeeds()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
       if (struct.isSetUses()) {
         {
           oprot.writeI32(struct.uses.size());
-          for (WireUpstreamUse _iter93 : struct.uses)
+          for (WireUpstreamUse _iter97 : struct.uses)
           {
-            _iter93.write(oprot);
+            _iter97.write(oprot);
           }
         }
       }
       if (struct.isSetSpent()) {
         {
           oprot.writeI32(struct.spent.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter94 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter98 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter94.getKey());
-            oprot.writeDouble(_iter94.getValue());
+            oprot.writeString(_iter98.getKey());
+            oprot.writeDouble(_iter98.getValue());
           }
         }
       }
       if (struct.isSetPrompts()) {
         {
           oprot.writeI32(struct.prompts.size());
-          for (WirePromptEvidence _iter95 : struct.prompts)
+          for (WirePromptEvidence _iter99 : struct.prompts)
           {
-            _iter95.write(oprot);
+            _iter99.write(oprot);
           }
         }
       }
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (WireUpstreamStart _iter96 : struct.leaving)
+          for (WireUpstreamStart _iter100 : struct.leaving)
           {
-            _iter96.write(oprot);
+            _iter100.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetQueued()) {
+        {
+          oprot.writeI32(struct.queued.size());
+          for (WireDemand _iter101 : struct.queued)
+          {
+            _iter101.write(oprot);
           }
         }
       }
       if (struct.isSetSpeeds()) {
         {
           oprot.writeI32(struct.speeds.size());
-          for (WireSpeed _iter97 : struct.speeds)
+          for (WireSpeed _iter102 : struct.speeds)
           {
-            _iter97.write(oprot);
+            _iter102.write(oprot);
           }
         }
       }
@@ -1004,74 +1152,88 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireSiteLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list98 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list98.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem99;
-          for (int _i100 = 0; _i100 < _list98.size; ++_i100)
+          org.apache.thrift.protocol.TList _list103 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list103.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem104;
+          for (int _i105 = 0; _i105 < _list103.size; ++_i105)
           {
-            _elem99 = new WireUpstreamUse();
-            _elem99.read(iprot);
-            struct.uses.add(_elem99);
+            _elem104 = new WireUpstreamUse();
+            _elem104.read(iprot);
+            struct.uses.add(_elem104);
           }
         }
         struct.setUsesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map101 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
-          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map101.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key102;
-          double _val103;
-          for (int _i104 = 0; _i104 < _map101.size; ++_i104)
+          org.apache.thrift.protocol.TMap _map106 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
+          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map106.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key107;
+          double _val108;
+          for (int _i109 = 0; _i109 < _map106.size; ++_i109)
           {
-            _key102 = iprot.readString();
-            _val103 = iprot.readDouble();
-            struct.spent.put(_key102, _val103);
+            _key107 = iprot.readString();
+            _val108 = iprot.readDouble();
+            struct.spent.put(_key107, _val108);
           }
         }
         struct.setSpentIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list105 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list105.size);
-          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem106;
-          for (int _i107 = 0; _i107 < _list105.size; ++_i107)
+          org.apache.thrift.protocol.TList _list110 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list110.size);
+          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem111;
+          for (int _i112 = 0; _i112 < _list110.size; ++_i112)
           {
-            _elem106 = new WirePromptEvidence();
-            _elem106.read(iprot);
-            struct.prompts.add(_elem106);
+            _elem111 = new WirePromptEvidence();
+            _elem111.read(iprot);
+            struct.prompts.add(_elem111);
           }
         }
         struct.setPromptsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list108 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list108.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem109;
-          for (int _i110 = 0; _i110 < _list108.size; ++_i110)
+          org.apache.thrift.protocol.TList _list113 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list113.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem114;
+          for (int _i115 = 0; _i115 < _list113.size; ++_i115)
           {
-            _elem109 = new WireUpstreamStart();
-            _elem109.read(iprot);
-            struct.leaving.add(_elem109);
+            _elem114 = new WireUpstreamStart();
+            _elem114.read(iprot);
+            struct.leaving.add(_elem114);
           }
         }
         struct.setLeavingIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list111 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.speeds = new java.util.ArrayList<WireSpeed>(_list111.size);
-          @org.apache.thrift.annotation.Nullable WireSpeed _elem112;
-          for (int _i113 = 0; _i113 < _list111.size; ++_i113)
+          org.apache.thrift.protocol.TList _list116 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.queued = new java.util.ArrayList<WireDemand>(_list116.size);
+          @org.apache.thrift.annotation.Nullable WireDemand _elem117;
+          for (int _i118 = 0; _i118 < _list116.size; ++_i118)
+          {
+            _elem117 = new WireDemand();
+            _elem117.read(iprot);
+            struct.queued.add(_elem117);
+          }
+        }
+        struct.setQueuedIsSet(true);
+      }
+      if (incoming.get(5)) {
+        {
+          org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.speeds = new java.util.ArrayList<WireSpeed>(_list119.size);
+          @org.apache.thrift.annotation.Nullable WireSpeed _elem120;
+          for (int _i121 = 0; _i121 < _list119.size; ++_i121)
           {
-            _elem112 = new WireSpeed();
-            _elem112.read(iprot);
-            struct.speeds.add(_elem112);
+            _elem120 = new WireSpeed();
+            _elem120.read(iprot);
+            struct.speeds.add(_elem120);
           }
         }
         struct.setSpeedsIsSet(true);
