--- a/src/main/java/org/lacewingstep/placement/UpstreamForecast.java
+++ b/src/main/java/org/lacewingstep/placement/UpstreamForecast.java
@@ -13,6 +13,9 @@
     /** Limit of the slowness and of its inverse; a slower upstream is still tried now and then. */
     static final double MAX_SLOWNESS = 8;
 
+    /** Fraction of a target that waiting and running at an upstream may take; the rest is for the way. */
+    private static final double ON_TIME_FRACTION = 0.8;
+
     private UpstreamForecast() {}
 
     /**
@@ -57,4 +60,40 @@
             final double running, final double units, final int slots, final double secondsPerUnit) {
         return secondsPerUnit * Math.max(units, (running + units) / slots);
     }
+
+    /**
+     * Computes how many calls an upstream may hold so that the last one completes on time.
+     *
+     * @param slots the number of calls that run at the same time, positive
+     * @param secondsPerCall the time for one call, zero if unknown
+     * @param targetSeconds the time within which a response counts as on time, positive
+     * @return the number of calls, at least the slots
+     */
+    public static double callsOnTime(final int slots, final double secondsPerCall, final double targetSeconds) {
+        return secondsPerCall <= 0
+                ? Double.MAX_VALUE
+                : slots * Math.max(1, ON_TIME_FRACTION * targetSeconds / secondsPerCall);
+    }
+
+    /**
+     * Computes the fraction of a call's time that an engine spends on reading some tokens of the prompt.
+     *
+     * @param tokens the tokens, not negative
+     * @param prompt the tokens of the whole prompt, not negative
+     * @param output the permitted output in tokens, not negative
+     * @param secondsPerToken the time for a prompt token, zero if unknown
+     * @param secondsPerEvent the time for an event of the output, zero if unknown
+     * @return the fraction, from 0 to 1; zero if a speed is unknown
+     */
+    public static double readingFraction(
+            final double tokens,
+            final double prompt,
+            final double output,
+            final double secondsPerToken,
+            final double secondsPerEvent) {
+        if (secondsPerToken <= 0 || secondsPerEvent <= 0) {
+            return 0;
+        }
+        return tokens * secondsPerToken / (prompt * secondsPerToken + output * secondsPerEvent);
+    }
 }
