Bound what a team spends through many instances before they know of it

Cause: an instance learned up to 1.1 s late what the others had admitted, as a report waits 500 ms at its sender and 250 ms at each of two relays. Until then each of 58 to 95 instances had the whole bucket: a team that sends 4.2 times its rate spent 4.6 seconds of its rate unseen, more than the slack.

Change: spending of a call that would use up half of the slack if each instance had such a call unseen is reported after 50 ms, and relays pass such reports on after 50 ms while the bucket of the team empties. Admission counts what the others have probably spent since their last reports, by their mean pace, up to the part of the slack that the bucket holds beyond the burst: a team within rate and burst has the whole of both.

--- a/src/main/java/org/lacewingstep/blackboard/RelaySection.java
+++ b/src/main/java/org/lacewingstep/blackboard/RelaySection.java
@@ -23,6 +23,7 @@
  * @param domainReports load reports of this failure domain that were not passed on yet, not null
  * @param foreignReports load reports of other failure domains that were not passed on yet, not null
  * @param remoteRelays the relay that last reported from each other failure domain, not null
+ * @param passingOnSoon whether the reports are passed on earlier than usual
  */
 public record RelaySection(
         PVector<HistoryEntry> history,
@@ -33,7 +34,8 @@
         Instant answeredAt,
         PMap<Incarnation, SiteLoad> domainReports,
         PMap<Incarnation, SiteLoad> foreignReports,
-        PMap<FailureDomainName, InstanceName> remoteRelays)
+        PMap<FailureDomainName, InstanceName> remoteRelays,
+        boolean passingOnSoon)
         implements ServingSection {
     /** The initial section of a process. */
     public static final RelaySection INITIAL = new RelaySection(
@@ -45,7 +47,8 @@
             Instant.EPOCH,
             HashTreePMap.empty(),
             HashTreePMap.empty(),
-            HashTreePMap.empty());
+            HashTreePMap.empty(),
+            false);
 
     /**
      * Copies this section with another history.
@@ -56,7 +59,16 @@
      */
     public RelaySection withHistory(final PVector<HistoryEntry> next, final long start) {
         return new RelaySection(
-                next, start, queries, lastQueryAt, query, answeredAt, domainReports, foreignReports, remoteRelays);
+                next,
+                start,
+                queries,
+                lastQueryAt,
+                query,
+                answeredAt,
+                domainReports,
+                foreignReports,
+                remoteRelays,
+                passingOnSoon);
     }
 
     /**
@@ -76,7 +88,8 @@
                 answeredAt,
                 domainReports,
                 foreignReports,
-                remoteRelays);
+                remoteRelays,
+                passingOnSoon);
     }
 
     /**
@@ -96,7 +109,8 @@
                 nextAnsweredAt,
                 domainReports,
                 foreignReports,
-                remoteRelays);
+                remoteRelays,
+                passingOnSoon);
     }
 
     /**
@@ -117,7 +131,8 @@
                 answeredAt,
                 nextDomainReports,
                 nextForeignReports,
-                remoteRelays);
+                remoteRelays,
+                passingOnSoon);
     }
 
     /**
@@ -137,7 +152,28 @@
                 answeredAt,
                 domainReports,
                 foreignReports,
-                remoteRelays.plus(domain, relay));
+                remoteRelays.plus(domain, relay),
+                passingOnSoon);
+    }
+
+    /**
+     * Copies this section with another time at which reports are passed on.
+     *
+     * @param soon whether the reports are passed on earlier than usual
+     * @return the copy, never null
+     */
+    public RelaySection withPassingOnSoon(final boolean soon) {
+        return new RelaySection(
+                history,
+                historyStart,
+                queries,
+                lastQueryAt,
+                query,
+                answeredAt,
+                domainReports,
+                foreignReports,
+                remoteRelays,
+                soon);
     }
 
     /**
--- a/src/main/java/org/lacewingstep/blackboard/SiteSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/SiteSection.java
@@ -32,6 +32,12 @@
     /** Time for which changes are collected before a report on a site with relays, and its longest interval. */
     private static final Duration RELAYED_BROADCAST_DELAY = Duration.ofMillis(500);
 
+    /** Usual time until all instances know of a notable change, by a report without the usual delay. */
+    private static final Duration REPORT_DELAY = Duration.ofMillis(80);
+
+    /** The same on a site with relays: three waits for changes that are sent together, and the way. */
+    private static final Duration RELAYED_REPORT_DELAY = Duration.ofMillis(300);
+
     /** Most instances that each read the store and report to each other; larger sites have relays. */
     private static final int MAX_INSTANCES_WITHOUT_RELAYS = 16;
 
@@ -75,6 +81,24 @@
         return isRelayed() ? RELAYED_BROADCAST_DELAY : MIN_BROADCAST_DELAY;
     }
 
+    /**
+     * Returns the delay after which a notable change is reported or passed on, without the delay of other changes.
+     *
+     * @return the delay, never null
+     */
+    public Duration shortDelay() {
+        return MIN_BROADCAST_DELAY;
+    }
+
+    /**
+     * Returns the usual time until all instances know of a notable change at one of them.
+     *
+     * @return the time, never null
+     */
+    public Duration reportDelay() {
+        return isRelayed() ? RELAYED_REPORT_DELAY : REPORT_DELAY;
+    }
+
     /**
      * Computes the time without a report after which an instance counts as cut off.
      *
--- a/src/main/java/org/lacewingstep/controller/AllowanceController.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceController.java
@@ -115,7 +115,7 @@
         final double previousUnits = Optional.ofNullable(section.spent().get(team))
                 .map(Spending::units)
                 .orElse(0.0);
-        return withDebit(board, section, team, units, now)
+        return withDebit(board, section, team, bucket -> bucket.spend(units), now)
                 .withSpent(section.spent().plus(team, new Spending(previousUnits + units, now)));
     }
 
@@ -133,7 +133,8 @@
             final double countedUnits =
                     base.units().getOrDefault(sum.getKey(), startedLater || sameProcess ? 0.0 : sum.getValue());
             if (sum.getValue() > countedUnits) {
-                section = withDebit(board, section, sum.getKey(), sum.getValue() - countedUnits, now);
+                final double units = sum.getValue() - countedUnits;
+                section = withDebit(board, section, sum.getKey(), bucket -> bucket.spendElsewhere(units), now);
             }
         }
         return section.withPeers(section.peers().plus(sender.instance(), base.with(now, sums)));
@@ -143,11 +144,11 @@
             final Blackboard board,
             final AllowanceSection section,
             final TeamName team,
-            final double units,
+            final UnaryOperator<AllowanceBucket> debit,
             final Instant now) {
         return AllowanceShare.bucket(board, team, now)
                 .map(bucket -> section.withTeams(
-                        section.tableRevision(), section.teams().plus(team, bucket.spend(units))))
+                        section.tableRevision(), section.teams().plus(team, debit.apply(bucket))))
                 .orElse(section);
     }
 }
--- a/src/main/java/org/lacewingstep/controller/AllowanceShare.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceShare.java
@@ -11,6 +11,7 @@
 import org.lacewingstep.blackboard.AllowanceSection;
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.domain.AllowanceBucket;
+import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.RetryBudget;
@@ -55,6 +56,11 @@
      */
     private static final double SELECTION_DIVISOR = 2;
 
+    /** Fraction of the rate slack that all instances together may have spent before they report without delay. */
+    private static final double SOON_REPORTED_FRACTION = 0.5;
+
+    private static final int MILLISECONDS_PER_SECOND = 1000;
+
     private AllowanceShare() {}
 
     /**
@@ -95,6 +101,56 @@
         return board.serving().site().bounds().rateSlack() * PLAIN_OVERDRAFT_FRACTION;
     }
 
+    /**
+     * Computes how many units other instances have probably spent that no report has named yet. No more than the part
+     * of the slack that the bucket holds in addition to the team's burst, so that a team within its limit has the whole
+     * of the limit.
+     *
+     * @param board the blackboard, not null
+     * @param bucket the current bucket of the team, not null
+     * @param now the present time, not null
+     * @return the units, zero or more
+     */
+    static double unreportedUnits(final Blackboard board, final AllowanceBucket bucket, final Instant now) {
+        final double delaySeconds = board.serving().site().reportDelay().toMillis() / (double) MILLISECONDS_PER_SECOND;
+        final double limit =
+                board.serving().site().bounds().rateSlack() * SLACK_FRACTION * reachableFraction(board, now);
+        return Math.min(bucket.pace() * delaySeconds, limit);
+    }
+
+    /**
+     * Returns whether other instances need to know soon that this one has spent units: the same at each instance would
+     * use up half of the slack unseen.
+     *
+     * @param board the blackboard, not null
+     * @param units the units of a call
+     * @return true if the units should be reported without the delay of other changes
+     */
+    static boolean isReportedSoon(final Blackboard board, final long units) {
+        final double slack = board.serving().site().bounds().rateSlack();
+        return units * board.serving().site().instances() > slack * SOON_REPORTED_FRACTION;
+    }
+
+    /**
+     * Returns whether a report names new spending of a team whose bucket empties soon.
+     *
+     * @param board the blackboard, not null
+     * @param origin the instance that sent the report, not null
+     * @param spent the reported sums by team, not null
+     * @param now the present time, not null
+     * @return true if the report should be passed on without the delay of others
+     */
+    static boolean isPassedOnSoon(
+            final Blackboard board, final Incarnation origin, final Map<TeamName, Double> spent, final Instant now) {
+        final AllowanceSection.PeerSpending known =
+                board.serving().allowances().peers().get(origin.instance());
+        return spent.entrySet().stream()
+                .filter(sum -> known == null || sum.getValue() > known.units().getOrDefault(sum.getKey(), 0.0))
+                .anyMatch(sum -> bucket(board, sum.getKey(), now)
+                        .filter(AllowanceBucket::isUnderPressure)
+                        .isPresent());
+    }
+
     /**
      * Computes the current retry budget of a service at this instance. A restarted instance starts without credits.
      *
--- a/src/main/java/org/lacewingstep/controller/CallAdmission.java
+++ b/src/main/java/org/lacewingstep/controller/CallAdmission.java
@@ -154,16 +154,19 @@
         final Optional<AllowanceBucket> bucket = AllowanceShare.bucket(board, team, now);
         final boolean withinDefaultUnits = allowance != null && units <= allowance.plainUnits();
         final double overdraft = withinDefaultUnits ? AllowanceShare.plainOverdraft(board) : 0;
-        if (bucket.isPresent() && !bucket.get().isOpen(overdraft)) {
+        final double unreported = bucket.map(known -> AllowanceShare.unreportedUnits(board, known, now))
+                .orElse(0.0);
+        if (bucket.isPresent() && !bucket.get().spend(unreported).isOpen(overdraft)) {
             return new AdmissionDecision.Refused(
                     new Refusal(
                             ErrorCode.RATE_EXCEEDED,
                             "the team's rate is exceeded",
-                            bucket.get().timeUntilOpen()),
+                            bucket.get().spend(unreported).timeUntilOpen()),
                     List.of(
                             Input.of("team", team),
                             Input.of("units", units),
                             Input.of("level", Math.round(bucket.get().level())),
+                            Input.of("unreported", Math.round(unreported)),
                             Input.of("rate", Math.round(bucket.get().unitsPerSecond()))));
         }
         return new AdmissionDecision.Admitted(createCall(
--- a/src/main/java/org/lacewingstep/controller/RelayController.java
+++ b/src/main/java/org/lacewingstep/controller/RelayController.java
@@ -78,9 +78,9 @@
                         section.queries().plus(sender.instance(), new PendingQuery(number, revision, now)), now));
             case Event.PeerMessageReceived(Incarnation sender, PeerMessage.StoreUpdate update) ->
                 applyUpdate(board, update, now);
-            case Event.PeerMessageReceived(Incarnation sender, SiteLoad load) -> applyReport(board, sender, load);
+            case Event.PeerMessageReceived(Incarnation sender, SiteLoad load) -> applyReport(board, sender, load, now);
             case Event.PeerMessageReceived(Incarnation sender, PeerMessage.LoadDigest(var reports)) ->
-                applyDigest(board, sender, reports);
+                applyDigest(board, sender, reports, now);
             // The time of a suspension is not part of the present time, so the age of an answer would be wrong.
             case Event.ClockJumped jumped ->
                 Outcome.of(section.withQuery(
@@ -109,7 +109,8 @@
             section = RelayPolicy.isRelay(board, now)
                     ? passReportsOn(board, builder)
                     : section.withReports(HashTreePMap.empty(), HashTreePMap.empty());
-            section = section.withQuery(sendQuery(board, builder, now), section.answeredAt());
+            section = section.withQuery(sendQuery(board, builder, now), section.answeredAt())
+                    .withPassingOnSoon(false);
         }
         return scheduleTick(section, builder, now);
     }
@@ -223,15 +224,33 @@
 
     /** Applies a report that its origin sent here, and keeps it to pass it on if this instance may be a relay. */
     private static Outcome<RelaySection> applyReport(
-            final Blackboard board, final Incarnation origin, final SiteLoad load) {
-        final RelaySection section = board.serving().relay();
+            final Blackboard board, final Incarnation origin, final SiteLoad load, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
         addReport(board, origin, load, builder);
-        final boolean passedOn = board.serving().site().isRelayed() && isInOwnDomain(board, origin);
+        if (!board.serving().site().isRelayed() || !isInOwnDomain(board, origin)) {
+            return builder.outcome(board.serving().relay());
+        }
+        final RelaySection section = withEarlierTick(board, Map.of(origin, load), builder, now);
         return builder.outcome(
-                passedOn
-                        ? section.withReports(section.domainReports().plus(origin, load), section.foreignReports())
-                        : section);
+                section.withReports(section.domainReports().plus(origin, load), section.foreignReports()));
+    }
+
+    /** Passes reports on early that name the spending of a team whose limit all instances are about to reach. */
+    private static RelaySection withEarlierTick(
+            final Blackboard board,
+            final Map<Incarnation, SiteLoad> reports,
+            final OutcomeBuilder builder,
+            final Instant now) {
+        final RelaySection section = board.serving().relay();
+        final boolean soon = !section.passingOnSoon()
+                && reports.entrySet().stream()
+                        .anyMatch(report -> AllowanceShare.isPassedOnSoon(
+                                board, report.getKey(), report.getValue().spent(), now));
+        if (soon) {
+            builder.add(new Effect.StartTimer(
+                    new TimerKey.RelayTick(), now.plus(board.serving().site().shortDelay())));
+        }
+        return section.withPassingOnSoon(section.passingOnSoon() || soon);
     }
 
     private static void addReport(
@@ -276,14 +295,17 @@
     }
 
     private static Outcome<RelaySection> applyDigest(
-            final Blackboard board, final Incarnation sender, final Map<Incarnation, SiteLoad> reports) {
+            final Blackboard board,
+            final Incarnation sender,
+            final Map<Incarnation, SiteLoad> reports,
+            final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
         reports.forEach((origin, load) -> addReport(board, origin, load, builder));
-        final RelaySection section = board.serving().relay();
         final Member relay = board.serving().site().present().get(sender.instance());
         if (relay == null || relay.failureDomain().equals(RelayPolicy.ownDomain(board))) {
-            return builder.outcome(section);
+            return builder.outcome(board.serving().relay());
         }
+        final RelaySection section = withEarlierTick(board, reports, builder, now);
         return builder.outcome(section.withRemoteRelay(relay.failureDomain(), relay.name())
                 .withReports(section.domainReports(), section.foreignReports().plusAll(reports)));
     }
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.lacewingstep.blackboard.AllowanceChange;
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallResult;
 import org.lacewingstep.blackboard.Effect;
@@ -64,6 +65,9 @@
                 scheduleBroadcast(board, withRequestEnded(section, name, tokens, result, now), now);
             case Event.UpstreamStalled(UpstreamName name, var replaceable) ->
                 Outcome.of(with(section, name, section.of(name).withBackOff(now.plus(STALL_BACKOFF))));
+            case Event.AllowanceChanged(AllowanceChange.Spent(var team, long units))
+            when AllowanceShare.isReportedSoon(board, units) ->
+                scheduleBroadcast(section, now.plus(board.serving().site().shortDelay()));
             case Event.LoadReportRequested() -> scheduleBroadcast(board, section, now);
             case Event.TimerFired(TimerKey.LoadBroadcast()) -> broadcast(board, now);
             case Event.PeerLoadReported(Incarnation sender, PeerMessage.SiteLoad load) ->
@@ -99,7 +103,11 @@
     /** Schedules a load broadcast after a short delay, so that changes until then are sent together. */
     private static Outcome<UpstreamLoadSection> scheduleBroadcast(
             final Blackboard board, final UpstreamLoadSection section, final Instant now) {
-        final Instant due = now.plus(board.serving().site().broadcastDelay());
+        return scheduleBroadcast(section, now.plus(board.serving().site().broadcastDelay()));
+    }
+
+    private static Outcome<UpstreamLoadSection> scheduleBroadcast(
+            final UpstreamLoadSection section, final Instant due) {
         if (!section.broadcastDue().isAfter(due)) {
             return Outcome.of(section);
         }
--- a/src/main/java/org/lacewingstep/domain/AllowanceBucket.java
+++ b/src/main/java/org/lacewingstep/domain/AllowanceBucket.java
@@ -14,10 +14,15 @@
  * @param unitsPerSecond the rate in units per second, not negative
  * @param capacity the largest level in units, not negative
  * @param level the number of units at {@code updatedAt}, negative after an overdraft
+ * @param pace the units per second that other instances have spent lately, a decaying mean
  * @param updatedAt the time for which {@code level} was computed, not null
  */
-public record AllowanceBucket(double unitsPerSecond, double capacity, double level, Instant updatedAt) {
+public record AllowanceBucket(double unitsPerSecond, double capacity, double level, double pace, Instant updatedAt) {
     private static final double MAX_WAIT_SECONDS = 60;
+
+    /** Time constant of the decaying mean; some intervals at which reports of other instances arrive. */
+    private static final double PACE_SECONDS = 0.6;
+
     private static final double NANOSECONDS_PER_SECOND = 1e9;
 
     /** Validates the components. */
@@ -25,9 +30,23 @@
         Validate.isTrue(unitsPerSecond >= 0, "rate", "zero or more");
         Validate.isTrue(capacity >= 0, "capacity", "zero or more");
         Validate.isTrue(level <= capacity, "level", "no more than the capacity");
+        Validate.isTrue(pace >= 0, "pace", "zero or more");
         Validate.notNull(updatedAt, "update time");
     }
 
+    /**
+     * Creates a bucket from which no other instance has spent yet.
+     *
+     * @param unitsPerSecond the rate in units per second, not negative
+     * @param capacity the largest level in units, not negative
+     * @param level the number of units at {@code updatedAt}
+     * @param updatedAt the time for which {@code level} was computed, not null
+     */
+    public AllowanceBucket(
+            final double unitsPerSecond, final double capacity, final double level, final Instant updatedAt) {
+        this(unitsPerSecond, capacity, level, 0, updatedAt);
+    }
+
     /**
      * Adds the units accrued at the previous rate and replaces rate and capacity.
      *
@@ -40,7 +59,8 @@
         final double elapsedSeconds =
                 Math.max(0, Duration.between(updatedAt, now).toNanos()) / NANOSECONDS_PER_SECOND;
         final double refilledLevel = Math.min(newCapacity, level + elapsedSeconds * unitsPerSecond);
-        return new AllowanceBucket(newRate, newCapacity, refilledLevel, now);
+        final double decayedPace = pace * Math.exp(-elapsedSeconds / PACE_SECONDS);
+        return new AllowanceBucket(newRate, newCapacity, refilledLevel, decayedPace, now);
     }
 
     /**
@@ -50,7 +70,26 @@
      * @return the bucket after the spending, never null
      */
     public AllowanceBucket spend(final double units) {
-        return new AllowanceBucket(unitsPerSecond, capacity, level - units, updatedAt);
+        return new AllowanceBucket(unitsPerSecond, capacity, level - units, pace, updatedAt);
+    }
+
+    /**
+     * Spends the units that another instance has reported; the level may become negative.
+     *
+     * @param units the units that were spent, not negative
+     * @return the bucket after the spending, never null
+     */
+    public AllowanceBucket spendElsewhere(final double units) {
+        return new AllowanceBucket(unitsPerSecond, capacity, level - units, pace + units / PACE_SECONDS, updatedAt);
+    }
+
+    /**
+     * Returns whether the bucket empties soon, so that the instances need to know of each other's spending early.
+     *
+     * @return true if less than half is left or if other instances spend more than the rate
+     */
+    public boolean isUnderPressure() {
+        return level < capacity / 2 || pace > unitsPerSecond;
     }
 
     /**
--- a/src/test/java/org/lacewingstep/controller/RelayFleet.java
+++ b/src/test/java/org/lacewingstep/controller/RelayFleet.java
@@ -38,6 +38,7 @@
     private final Map<Integer, Instant> suspendedSince = new HashMap<>();
     private final Random random;
     private final List<RegisteredUpstream> upstreams;
+    private final double rateSlack;
 
     private Set<Integer> callers = new HashSet<>();
     private int calls;
@@ -46,7 +47,7 @@
     private double lostShare;
     private double repeatedShare;
     private long revision = 100;
-    private RoutingTable table = SiteFixture.table(1, 1_000_000);
+    private RoutingTable table;
     private long tableRevision = 1;
 
     /** An event that an instance has not received yet. */
@@ -60,7 +61,19 @@
     }
 
     RelayFleet(final int instances, final int domains, final Random random, final List<RegisteredUpstream> upstreams) {
+        this(instances, domains, random, upstreams, SiteFixture.table(1, 1_000_000), 1000);
+    }
+
+    RelayFleet(
+            final int instances,
+            final int domains,
+            final Random random,
+            final List<RegisteredUpstream> upstreams,
+            final RoutingTable table,
+            final double rateSlack) {
         this.random = random;
+        this.table = table;
+        this.rateSlack = rateSlack;
         this.upstreams = upstreams;
         for (int i = 0; i < instances; i++) {
             members.add(new Member(
@@ -71,7 +84,7 @@
         final StoreChange[] present =
                 members.stream().map(StoreChange.InstanceRegistered::new).toArray(StoreChange[]::new);
         for (final Member member : members) {
-            final SiteFixture site = new SiteFixture(member, true, 1000);
+            final SiteFixture site = new SiteFixture(member, true, rateSlack);
             site.readStore(table, upstreams);
             site.changeStore(present);
             sites.add(site);
@@ -223,7 +236,7 @@
         final Member old = members.get(index);
         final Member member = new Member(
                 new Incarnation(old.name(), old.incarnation().number() + 1), old.address(), old.failureDomain());
-        final SiteFixture site = new SiteFixture(member, false, 1000);
+        final SiteFixture site = new SiteFixture(member, false, rateSlack);
         site.advanceClock(Duration.between(site.now(), now));
         members.set(index, member);
         timers.get(index).clear();
