Charge the units of a call to its team when it is admitted

Cause: a call was charged when it was first sent. Calls of a team that presses were admitted while earlier ones waited for an engine, up to 3 s, and all of them were sent without another question of the limit.

Change: the units are charged at admission and given back if no upstream has run the call. Reports never decrease: units that were returned stay in the reported sum until the team spends them again at the same instance.

Result: CallAdmissionTest.callsThatWaitForAnUpstreamAreCountedAgainstTheRate.

--- a/src/main/java/org/lacewingstep/blackboard/AllowanceChange.java
+++ b/src/main/java/org/lacewingstep/blackboard/AllowanceChange.java
@@ -6,13 +6,21 @@
 /** A change of what is left of a team's rate limit or of a service's retry budget. */
 public sealed interface AllowanceChange {
     /**
-     * A call spends units of its team's rate limit.
+     * A call that was admitted spends units of its team's rate limit.
      *
      * @param team the team, not null
      * @param units the number of units
      */
     record Spent(TeamName team, long units) implements AllowanceChange {}
 
+    /**
+     * A call has ended that no upstream has run.
+     *
+     * @param team the team, not null
+     * @param units the number of units that the call had spent
+     */
+    record Returned(TeamName team, long units) implements AllowanceChange {}
+
     /**
      * A call is being sent to an upstream for the first time.
      *
--- a/src/main/java/org/lacewingstep/blackboard/AllowanceSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/AllowanceSection.java
@@ -35,10 +35,36 @@
     /**
      * The spending of a team at this instance.
      *
-     * @param units units spent since the process started
+     * @param units units spent since the process started, less those that were returned
+     * @param reported units spent according to the reports, which never decrease; units that were returned are in it
+     *     until they are spent again
      * @param lastAt when the team last spent units, not null
      */
-    public record Spending(double units, Instant lastAt) {}
+    public record Spending(double units, double reported, Instant lastAt) {
+        /** No spending. */
+        public static final Spending NONE = new Spending(0, 0, Instant.EPOCH);
+
+        /**
+         * Adds the units of a call.
+         *
+         * @param added the units, not negative
+         * @param now the present time, not null
+         * @return the sum, never null
+         */
+        public Spending plus(final double added, final Instant now) {
+            return new Spending(units + added, Math.max(reported, units + added), now);
+        }
+
+        /**
+         * Subtracts the units of a call that no upstream has run.
+         *
+         * @param returned the units, not negative
+         * @return the difference, never null
+         */
+        public Spending minus(final double returned) {
+            return new Spending(units - returned, reported, lastAt);
+        }
+    }
 
     /**
      * The spending of teams at another instance.
--- a/src/main/java/org/lacewingstep/controller/AllowanceController.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceController.java
@@ -53,6 +53,7 @@
             final Blackboard board, final AllowanceChange change, final Instant now) {
         return switch (change) {
             case AllowanceChange.Spent(TeamName team, long units) -> withOwnSpending(board, team, units, now);
+            case AllowanceChange.Returned(TeamName team, long units) -> withReturned(board, team, units, now);
             case AllowanceChange.FirstSend(ServiceName service) ->
                 withRetryBudget(board, service, budget -> budget.earn(AllowanceShare.retriesPerFirstSend(board)), now);
             case AllowanceChange.RetryReserved(ServiceName service) ->
@@ -112,11 +113,17 @@
     private static AllowanceSection withOwnSpending(
             final Blackboard board, final TeamName team, final long units, final Instant now) {
         final AllowanceSection section = board.serving().allowances();
-        final double previousUnits = Optional.ofNullable(section.spent().get(team))
-                .map(Spending::units)
-                .orElse(0.0);
+        final Spending spending = section.spent().getOrDefault(team, Spending.NONE);
         return withDebit(board, section, team, bucket -> bucket.spend(units), now)
-                .withSpent(section.spent().plus(team, new Spending(previousUnits + units, now)));
+                .withSpent(section.spent().plus(team, spending.plus(units, now)));
+    }
+
+    private static AllowanceSection withReturned(
+            final Blackboard board, final TeamName team, final long units, final Instant now) {
+        final AllowanceSection section = board.serving().allowances();
+        final Spending spending = section.spent().getOrDefault(team, Spending.NONE);
+        return withDebit(board, section, team, bucket -> bucket.giveBack(units), now)
+                .withSpent(section.spent().plus(team, spending.minus(units)));
     }
 
     /** Debits the increase of a peer's cumulative sums; reports repeat the sums, so a lost message loses no units. */
--- a/src/main/java/org/lacewingstep/controller/AllowanceShare.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceShare.java
@@ -234,7 +234,7 @@
         final Map<TeamName, Double> units = new HashMap<>();
         board.serving().allowances().spent().forEach((team, spending) -> {
             if (spending.lastAt().plus(SPENDING_REPORT_PERIOD).isAfter(now)) {
-                units.put(team, spending.units());
+                units.put(team, spending.reported());
             }
         });
         return units;
--- a/src/main/java/org/lacewingstep/controller/AttemptReplacement.java
+++ b/src/main/java/org/lacewingstep/controller/AttemptReplacement.java
@@ -42,7 +42,7 @@
         final RegisteredUpstream replacement = chosen.get();
         builder.add(new Event.UpstreamOccupied(replacement, call.tokens()));
         final Call replacing = call.withPhase(new CallPhase.Replacing(stalled, replacement.name()));
-        RetryCharge.move(call, Optional.of(replacing), builder);
+        CallCharge.move(call, replacing, builder);
         if (!ReservationRequest.isNeeded(board, call, replacement)) {
             return send(board, call, stalled, replacement, builder, now);
         }
--- a/src/main/java/org/lacewingstep/controller/CallCompletion.java
+++ b/src/main/java/org/lacewingstep/controller/CallCompletion.java
@@ -158,11 +158,14 @@
             final CallResult.NotRun result,
             final OutcomeBuilder builder,
             final Instant now) {
-        final Call counted = result.reached() ? call : RetryCharge.withoutLastAttempt(call, now, builder);
+        final Call counted = result.reached() ? call : CallCharge.withoutLastAttempt(call, now, builder);
         final Optional<String> obstacle = retryObstacle(board, counted, false, now);
         if (obstacle.isEmpty()) {
             return retry(board, counted, false, builder, result, now);
         }
+        if (result.reached()) {
+            CallCharge.returnUnits(call, builder);
+        }
         final CallInstruction instruction = call.mayHaveRun()
                 ? new CallInstruction.Fail(ErrorCode.UPSTREAM_FAILED, "the upstreams failed")
                 : new CallInstruction.Refuse(new Refusal(
@@ -225,7 +228,7 @@
             return Optional.of("prompt quarantined");
         }
         if (call.attempts() > 0
-                && !RetryCharge.isHeld(call)
+                && !CallCharge.isHeld(call)
                 && !AllowanceShare.retryBudget(board, call.service(), now).permitsRetry()) {
             return Optional.of("retry budget spent");
         }
@@ -246,7 +249,7 @@
                 hasRun ? Optional.empty() : call.promptReadyAt(),
                 call.mayHaveRun() || hasRun,
                 new CallPhase.Queued(now.plus(CallPlacement.queueWaitLimit(call, now))));
-        RetryCharge.move(call, Optional.of(queued), builder);
+        CallCharge.move(call, queued, builder);
         return CallPlacement.place(board, queued, builder, now);
     }
 
@@ -288,7 +291,7 @@
                 Input.of("attempts", call.attempts()),
                 Input.of("tried", call.tried()))));
         builder.add(new Effect.InstructCall(call.parameters().request(), instruction));
-        RetryCharge.move(call, Optional.empty(), builder);
+        CallCharge.end(call, builder);
         return builder.outcome(CallController.without(board.serving().calls(), call));
     }
 
@@ -316,7 +319,7 @@
                 Input.of(
                         "took_ms",
                         Duration.between(call.parameters().receivedAt(), now).toMillis()))));
-        RetryCharge.move(call, Optional.empty(), builder);
+        CallCharge.end(call, builder);
         return builder.outcome(CallController.without(board.serving().calls(), call));
     }
 }
--- a/src/main/java/org/lacewingstep/controller/CallController.java
+++ b/src/main/java/org/lacewingstep/controller/CallController.java
@@ -107,6 +107,7 @@
             case CallAdmission.AdmissionDecision.Admitted(Call call) -> {
                 final Instant queueDeadline = now.plus(CallPlacement.queueWaitLimit(call, now));
                 builder.add(new Effect.StartTimer(new TimerKey.CallDeadline(parameters.request()), call.deadline()));
+                CallCharge.admit(call, builder);
                 yield CallPlacement.place(board, call.withPhase(new CallPhase.Queued(queueDeadline)), builder, now);
             }
         };
@@ -198,7 +199,7 @@
         CallCompletion.releaseUpstreams(call, Optional.empty(), builder);
         builder.add(new Effect.Log(Decision.on(
                 "answer", call.parameters().request(), "caller left", Input.of("attempts", call.attempts()))));
-        RetryCharge.move(call, Optional.empty(), builder);
+        CallCharge.end(call, builder);
         return builder.outcome(without(board.serving().calls(), call));
     }
 
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -129,7 +129,7 @@
                 }
                 rejectReservation(board, call, name, result, builder, now);
                 final Call continued = call.withPhase(stalled);
-                RetryCharge.move(call, Optional.of(continued), builder);
+                CallCharge.move(call, continued, builder);
                 yield builder.outcome(CallController.with(board.serving().calls(), continued));
             }
             case CallPhase.Queued queued -> builder.outcome(board.serving().calls());
@@ -270,7 +270,7 @@
                 call.mayHaveRun()
                         ? new CallInstruction.Fail(ErrorCode.UPSTREAM_FAILED, refusal.message())
                         : new CallInstruction.Refuse(refusal)));
-        RetryCharge.move(call, Optional.empty(), builder);
+        CallCharge.end(call, builder);
         return builder.outcome(CallController.without(board.serving().calls(), call));
     }
 
@@ -297,9 +297,6 @@
         prefill.ifPresent(chosen -> builder.add(new Event.UpstreamOccupied(chosen, call.tokens())));
         if (call.tried().isEmpty()) {
             builder.add(new Event.AllowanceChanged(new AllowanceChange.FirstSend(call.service())));
-            call.team()
-                    .ifPresent(team ->
-                            builder.add(new Event.AllowanceChanged(new AllowanceChange.Spent(team, call.units()))));
         } else if (attempt > 1) {
             builder.add(new Event.AllowanceChanged(new AllowanceChange.RetrySent(call.service())));
         }
--- a/src/main/java/org/lacewingstep/domain/AllowanceBucket.java
+++ b/src/main/java/org/lacewingstep/domain/AllowanceBucket.java
@@ -73,6 +73,16 @@
         return new AllowanceBucket(unitsPerSecond, capacity, level - units, pace, updatedAt);
     }
 
+    /**
+     * Returns the units of a request that was not sent.
+     *
+     * @param units the units, not negative
+     * @return the bucket with the units, never null
+     */
+    public AllowanceBucket giveBack(final double units) {
+        return new AllowanceBucket(unitsPerSecond, capacity, Math.min(capacity, level + units), pace, updatedAt);
+    }
+
     /**
      * Spends the units that another instance has reported; the level may become negative.
      *
--- a/src/test/java/org/lacewingstep/controller/CallAdmissionTest.java
+++ b/src/test/java/org/lacewingstep/controller/CallAdmissionTest.java
@@ -2,12 +2,14 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 import org.lacewingstep.blackboard.CallInstruction;
+import org.lacewingstep.blackboard.CallInstruction.Refuse;
 import org.lacewingstep.blackboard.CallInstruction.Send;
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.StoreChange;
@@ -179,4 +181,24 @@
                 .refusal()
                 .code();
     }
+
+    @Test
+    void callsThatWaitForAnUpstreamAreCountedAgainstTheRate() {
+        final SiteFixture site = new SiteFixture(true);
+        site.readStore(SiteFixture.table(1, 1000), SiteFixture.upstreams().subList(4, 5));
+        final List<RequestIdentifier> waiting = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            waiting.add(site.call("/stream/x", 600));
+        }
+        assertThat(site.board().serving().calls().calls()).hasSize(3);
+
+        assertThat(site.lastInstruction(site.call("/stream/x", 600)))
+                .isInstanceOfSatisfying(
+                        Refuse.class,
+                        refuse -> assertThat(refuse.refusal().code()).isEqualTo(ErrorCode.RATE_EXCEEDED));
+
+        waiting.forEach(request -> site.step(new Event.CallAbandoned(request)));
+        site.call("/stream/x", 600);
+        assertThat(site.board().serving().calls().calls()).hasSize(1);
+    }
 }
