--- a/src/main/java/org/lacewingstep/blackboard/Effect.java
+++ b/src/main/java/org/lacewingstep/blackboard/Effect.java
@@ -10,6 +10,7 @@
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.RolePlan;
+import org.lacewingstep.domain.RolloutPlan;
 import org.lacewingstep.domain.Roster;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.Upstream;
@@ -148,6 +149,14 @@
      */
     record WriteRolePlan(RolePlan plan, long expectedRevision) implements PlatformEffect {}
 
+    /**
+     * Writes the plan of a rollout and the state that the operators read, both or neither, by compare-and-swap.
+     *
+     * @param plan the plan, not null
+     * @param expectedRevision the revision of the plan that must be in the store, zero if there must be none
+     */
+    record WriteRolloutPlan(RolloutPlan plan, long expectedRevision) implements PlatformEffect {}
+
     /**
      * Orders an engine to change its role.
      *
--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -222,11 +222,7 @@
      */
     record SiteConfigured(SitePolicy policy, boolean firstStart) implements Event {}
 
-    /**
-     * The settings were reloaded.
-     *
-     * @param policy the policy of the site, not null
-     */
+    /** The settings were reloaded, with the policy of the site. */
     record SiteReloaded(SitePolicy policy) implements Event {}
 
     /**
@@ -389,6 +385,9 @@
     /** The other instances need a report of this instance soon. */
     record LoadReportRequested() implements Event {}
 
+    /** Something happened that concerns the rollouts of versions. */
+    record RolloutAdvanced(RolloutOccurrence occurrence) implements Event {}
+
     /** A call is being sent to an upstream for the first time. */
     record FirstSend() implements Event {}
 
--- a/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
+++ b/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.lacewingstep.domain.AnswerCounts;
+import org.lacewingstep.domain.AnswerGroup;
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.CellName;
 import org.lacewingstep.domain.Configuration;
@@ -226,12 +228,14 @@
      * @param spent units that each team with recent spending has spent at the sender since the sender started, not null
      * @param prompts the evidence on parts of prompts that are suspected of crashing upstreams, not null
      * @param leaving the starts of upstreams that have announced that they leave, not null
+     * @param answers what the sender has counted since the orders of the rollouts that it knows, not null
      */
     record SiteLoad(
             Map<UpstreamName, UpstreamUse> uses,
             Map<TeamName, Double> spent,
             Map<PromptPart, PromptEvidence> prompts,
-            Set<UpstreamStart> leaving)
+            Set<UpstreamStart> leaving,
+            Map<AnswerGroup, AnswerCounts> answers)
             implements PeerMessage {
         /** Copies the collections. */
         public SiteLoad {
@@ -239,6 +243,23 @@
             spent = Map.copyOf(spent);
             prompts = Map.copyOf(prompts);
             leaving = Set.copyOf(leaving);
+            answers = Map.copyOf(answers);
+        }
+
+        /**
+         * Creates a report without counts of rollouts.
+         *
+         * @param uses the sender's running requests at each upstream, not null
+         * @param spent units that each team with recent spending has spent at the sender, not null
+         * @param prompts the evidence on parts of prompts that are suspected of crashing upstreams, not null
+         * @param leaving the starts of upstreams that have announced that they leave, not null
+         */
+        public SiteLoad(
+                final Map<UpstreamName, UpstreamUse> uses,
+                final Map<TeamName, Double> spent,
+                final Map<PromptPart, PromptEvidence> prompts,
+                final Set<UpstreamStart> leaving) {
+            this(uses, spent, prompts, leaving, Map.of());
         }
     }
 }
--- a/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
@@ -19,6 +19,7 @@
  * @param relay what this instance passes on between the store and other instances, not null
  * @param prompts the parts of prompts that are suspected of crashing upstreams, not null
  * @param notices what upstreams have announced in their responses, not null
+ * @param rollouts the rollouts that are ordered or have ended, not null
  */
 public record ServingBoard(
         SiteSection site,
@@ -30,7 +31,8 @@
         RoleSection roles,
         RelaySection relay,
         PromptSection prompts,
-        UpstreamNoticeSection notices) {
+        UpstreamNoticeSection notices,
+        RolloutSection rollouts) {
     /** The initial sections of a process. */
     public static final ServingBoard INITIAL = new ServingBoard(
             SiteSection.INITIAL,
@@ -42,7 +44,8 @@
             RoleSection.INITIAL,
             RelaySection.INITIAL,
             PromptSection.INITIAL,
-            UpstreamNoticeSection.INITIAL);
+            UpstreamNoticeSection.INITIAL,
+            RolloutSection.INITIAL);
 
     /** Checks that every section is present. */
     public ServingBoard {
@@ -56,6 +59,7 @@
         Validate.notNull(relay, "relay");
         Validate.notNull(prompts, "prompts");
         Validate.notNull(notices, "notices");
+        Validate.notNull(rollouts, "rollouts");
     }
 
     /**
@@ -67,25 +71,37 @@
     public ServingBoard with(final ServingSection section) {
         return switch (section) {
             case SiteSection next ->
-                new ServingBoard(next, routing, registry, allowances, loads, calls, roles, relay, prompts, notices);
+                new ServingBoard(
+                        next, routing, registry, allowances, loads, calls, roles, relay, prompts, notices, rollouts);
             case RoutingSection next ->
-                new ServingBoard(site, next, registry, allowances, loads, calls, roles, relay, prompts, notices);
+                new ServingBoard(
+                        site, next, registry, allowances, loads, calls, roles, relay, prompts, notices, rollouts);
             case RegistrySection next ->
-                new ServingBoard(site, routing, next, allowances, loads, calls, roles, relay, prompts, notices);
+                new ServingBoard(
+                        site, routing, next, allowances, loads, calls, roles, relay, prompts, notices, rollouts);
             case AllowanceSection next ->
-                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts, notices);
+                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts, notices, rollouts);
             case UpstreamLoadSection next ->
-                new ServingBoard(site, routing, registry, allowances, next, calls, roles, relay, prompts, notices);
+                new ServingBoard(
+                        site, routing, registry, allowances, next, calls, roles, relay, prompts, notices, rollouts);
             case RelaySection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, next, prompts, notices);
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, roles, next, prompts, notices, rollouts);
             case RoleSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, next, relay, prompts, notices);
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, next, relay, prompts, notices, rollouts);
             case PromptSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, relay, next, notices);
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, roles, relay, next, notices, rollouts);
             case UpstreamNoticeSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, relay, prompts, next);
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, roles, relay, prompts, next, rollouts);
+            case RolloutSection next ->
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, roles, relay, prompts, notices, next);
             case CallSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, next, roles, relay, prompts, notices);
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, next, roles, relay, prompts, notices, rollouts);
         };
     }
 
--- a/src/main/java/org/lacewingstep/blackboard/ServingSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingSection.java
@@ -8,6 +8,7 @@
                 RegistrySection,
                 RelaySection,
                 RoleSection,
+                RolloutSection,
                 RoutingSection,
                 SiteSection,
                 UpstreamLoadSection,
--- a/src/main/java/org/lacewingstep/blackboard/StoreChange.java
+++ b/src/main/java/org/lacewingstep/blackboard/StoreChange.java
@@ -5,7 +5,10 @@
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RolePlan;
+import org.lacewingstep.domain.RolloutOrder;
+import org.lacewingstep.domain.RolloutPlan;
 import org.lacewingstep.domain.RoutingTable;
+import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.UpstreamName;
 
 /** A change in the store of the platform. */
@@ -67,4 +70,26 @@
      * @param revision the store's revision of the plan
      */
     record RolePlanChanged(RolePlan plan, long revision) implements StoreChange {}
+
+    /**
+     * The operators ordered a rollout.
+     *
+     * @param order the order, not null
+     */
+    record RolloutOrdered(RolloutOrder order) implements StoreChange {}
+
+    /**
+     * The operators removed the order of a rollout.
+     *
+     * @param service the service, not null
+     */
+    record RolloutWithdrawn(ServiceName service) implements StoreChange {}
+
+    /**
+     * An instance wrote the plan of a rollout.
+     *
+     * @param plan the plan, not null
+     * @param revision the store's revision of the plan
+     */
+    record RolloutPlanChanged(RolloutPlan plan, long revision) implements StoreChange {}
 }
--- a/src/main/java/org/lacewingstep/blackboard/TimerKey.java
+++ b/src/main/java/org/lacewingstep/blackboard/TimerKey.java
@@ -71,6 +71,9 @@
     /** Samples how full the engines of each role are. */
     record RoleSample() implements TimerKey {}
 
+    /** Judges the versions that are rolled out. */
+    record RolloutCheck() implements TimerKey {}
+
     /**
      * Ends a call at its deadline.
      *
--- a/src/main/java/org/lacewingstep/control/PlatformEffectDispatcher.java
+++ b/src/main/java/org/lacewingstep/control/PlatformEffectDispatcher.java
@@ -42,6 +42,7 @@
             case Effect.ConfirmTable(long revision) -> store.confirmTable(revision);
             case Effect.RenewPresence(var self, long lease, var duration) -> store.renewPresence(self, lease, duration);
             case Effect.WriteRolePlan(var plan, long revision) -> store.writeRolePlan(plan, revision);
+            case Effect.WriteRolloutPlan(var plan, long revision) -> store.writeRolloutPlan(plan, revision);
             case Effect.OrderRole(var engine, var role, var holder, long fence) ->
                 orders.orderRole(engine, role, holder, fence);
             case Effect.Log(var decision) -> log.write(decision);
--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -34,6 +34,7 @@
             new AllowanceController(),
             new RoleController(),
             new PromptController(),
+            new RolloutController(),
             new CallController());
 
     private BlackboardStepper() {}
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -18,6 +18,7 @@
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.Refusal;
+import org.lacewingstep.blackboard.RolloutOccurrence;
 import org.lacewingstep.blackboard.TimerKey;
 import org.lacewingstep.controller.PromptQuarantine.QuarantinedPart;
 import org.lacewingstep.domain.FailureDomainName;
@@ -290,6 +291,8 @@
         final Optional<RegisteredUpstream> prefill =
                 promptKept ? Optional.empty() : choosePrefill(board, call, upstream, now);
         final int attempt = call.attempts() + 1;
+        builder.add(new Event.RolloutAdvanced(new RolloutOccurrence.AttemptSent(
+                call.parameters().request(), attempt, upstream, call.route().name())));
         prefill.ifPresent(chosen -> builder.add(new Event.UpstreamOccupied(chosen, call.tokens())));
         if (call.tried().isEmpty()) {
             builder.add(new Event.FirstSend());
@@ -359,7 +362,8 @@
         if (upstream.role() != UpstreamRole.DECODE || call.attempts() > 0) {
             return Optional.empty();
         }
-        return UpstreamChoice.choose(board, call, Set.of(UpstreamRole.PREFILL), upstream.failureDomain(), now);
+        final Call placed = call.withPhase(new CallPhase.Sent(1, upstream.name(), Optional.empty()));
+        return UpstreamChoice.choose(board, placed, Set.of(UpstreamRole.PREFILL), upstream.failureDomain(), now);
     }
 
     /** Limits the time without progress after which an attempt is replaced to the time that remains. */
--- a/src/main/java/org/lacewingstep/controller/Controller.java
+++ b/src/main/java/org/lacewingstep/controller/Controller.java
@@ -24,6 +24,7 @@
                 RequestController,
                 RelayController,
                 RoleController,
+                RolloutController,
                 RoutingController,
                 SiteController,
                 TeamBudgetController,
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/RolloutController.java
@@ -0,0 +1,252 @@
+package org.lacewingstep.controller;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.CallResult;
+import org.lacewingstep.blackboard.Decision;
+import org.lacewingstep.blackboard.Decision.Input;
+import org.lacewingstep.blackboard.Effect;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.Outcome;
+import org.lacewingstep.blackboard.RolloutOccurrence;
+import org.lacewingstep.blackboard.RolloutSection;
+import org.lacewingstep.blackboard.RolloutSection.Duty;
+import org.lacewingstep.blackboard.RolloutSection.Rollout;
+import org.lacewingstep.blackboard.RolloutSection.View;
+import org.lacewingstep.blackboard.StoreChange;
+import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.domain.Incarnation;
+import org.lacewingstep.domain.RegisteredUpstream;
+import org.lacewingstep.domain.RequestIdentifier;
+import org.lacewingstep.domain.RolloutOrder;
+import org.lacewingstep.domain.RolloutPlan;
+import org.lacewingstep.domain.ServiceName;
+import org.lacewingstep.domain.VersionName;
+import org.lacewingstep.rollout.RolloutDecision;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PMap;
+import org.pcollections.PSet;
+
+/**
+ * Moves the requests of a service to another version when the operators order it.
+ *
+ * <p>The plan in the store says how far a rollout is. Every instance follows the plan, counts responses, shares the
+ * counts and judges the version; one of them writes the next stage by compare-and-swap.
+ */
+public final class RolloutController implements Controller<RolloutSection> {
+    /** Interval at which versions are judged. */
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
+
+    /** Time after a failed write before the next one, in which the plan would be read if it was written. */
+    private static final Duration RETRY_INTERVAL = Duration.ofSeconds(1);
+
+    @Override
+    public Class<RolloutSection> section() {
+        return RolloutSection.class;
+    }
+
+    @Override
+    public Outcome<RolloutSection> step(final Blackboard board, final Event event, final Instant now) {
+        final RolloutSection section = board.serving().rollouts();
+        return switch (event) {
+            case Event.SiteConfigured configured -> scheduleCheck(section, new OutcomeBuilder(), now);
+            case Event.SiteReloaded reloaded -> scheduleCheck(section, new OutcomeBuilder(), now);
+            case Event.TimerFired(TimerKey.RolloutCheck()) when isPermitted(board) -> check(board, now);
+            case Event.StoreRead(var content, long revision, Instant requestedAt)
+            when isPermitted(board) ->
+                Outcome.of(withEstablished(
+                        withContent(section, content, requestedAt, now).withNews(requestedAt), content));
+            case Event.StoreChanged(var changes, long revision)
+            when isPermitted(board) ->
+                Outcome.of(withEstablished(apply(section, changes, now).withNews(now), changes));
+            case Event.RolloutAdvanced(RolloutOccurrence occurrence) -> Outcome.of(apply(board, occurrence, now));
+            case Event.CallAttemptEnded(RequestIdentifier request, int attempt, CallResult result) ->
+                Outcome.of(RolloutCounting.withEnded(board, request, attempt, result, now));
+            case Event.PeerLoadReported(Incarnation origin, var load) ->
+                Outcome.of(RolloutCounting.withReport(section, origin, load.answers()));
+            // The time of a suspension is not part of the present time, so the age of the news would be wrong.
+            case Event.ClockJumped jumped -> Outcome.of(section.withNews(Instant.EPOCH));
+            default -> Outcome.of(section);
+        };
+    }
+
+    private static RolloutSection apply(final Blackboard board, final RolloutOccurrence occurrence, final Instant now) {
+        return switch (occurrence) {
+            case RolloutOccurrence.PlanWriteEnded(RolloutPlan plan, var revision) ->
+                withWriteEnded(board.serving().rollouts(), plan, revision, now);
+            case RolloutOccurrence.AttemptSent sent -> RolloutCounting.withSent(board, sent, now);
+        };
+    }
+
+    private static boolean isPermitted(final Blackboard board) {
+        return board.serving()
+                .site()
+                .policy()
+                .filter(policy -> policy.rollout().permitRollouts())
+                .isPresent();
+    }
+
+    private static Outcome<RolloutSection> scheduleCheck(
+            final RolloutSection section, final OutcomeBuilder builder, final Instant now) {
+        builder.add(new Effect.StartTimer(new TimerKey.RolloutCheck(), now.plus(CHECK_INTERVAL)));
+        return builder.outcome(section);
+    }
+
+    /** Applies a reading of the whole store, in which an order that is missing has been removed. */
+    private static RolloutSection withContent(
+            final RolloutSection section,
+            final List<StoreChange> content,
+            final Instant requestedAt,
+            final Instant now) {
+        final Set<ServiceName> ordered = new HashSet<>();
+        content.forEach(change -> {
+            if (change instanceof StoreChange.RolloutOrdered(RolloutOrder order)) {
+                ordered.add(order.service());
+            }
+        });
+        RolloutSection next = section;
+        for (final ServiceName service : section.rollouts().keySet()) {
+            if (!ordered.contains(service)) {
+                next = withdraw(next, service);
+            }
+        }
+        return apply(next, content, now);
+    }
+
+    private static RolloutSection apply(
+            final RolloutSection section, final List<StoreChange> changes, final Instant now) {
+        RolloutSection next = section;
+        for (final StoreChange change : changes) {
+            next = switch (change) {
+                case StoreChange.RolloutOrdered(RolloutOrder order) -> withOrder(next, order, now);
+                case StoreChange.RolloutWithdrawn(ServiceName service) -> withdraw(next, service);
+                case StoreChange.RolloutPlanChanged(RolloutPlan plan, long revision) ->
+                    withPlan(next, plan, revision, now);
+                default -> next;
+            };
+        }
+        return next;
+    }
+
+    private static RolloutSection withOrder(final RolloutSection section, final RolloutOrder order, final Instant now) {
+        final Rollout known = section.of(order.service());
+        if (known.order()
+                .filter(present -> present.revision() >= order.revision())
+                .isPresent()) {
+            return section;
+        }
+        final boolean continued = known.order().isPresent()
+                && known.plan()
+                        .filter(plan -> RolloutDecision.carriesOut(plan, order))
+                        .isPresent();
+        final Instant startedAt = continued ? known.startedAt() : now;
+        final PSet<VersionName> versions = section.established().getOrDefault(order.service(), HashTreePSet.empty());
+        final RolloutSection next = section.with(order.service(), known.withOrder(Optional.of(order), startedAt));
+        return versions.size() > 1
+                ? next.withEstablished(section.established().plus(order.service(), versions.minus(order.target())))
+                : next;
+    }
+
+    private static RolloutSection withdraw(final RolloutSection section, final ServiceName service) {
+        final Rollout known = section.of(service);
+        return section.rollouts().containsKey(service)
+                ? section.with(service, known.withOrder(Optional.empty(), known.startedAt()))
+                : section;
+    }
+
+    private static RolloutSection withPlan(
+            final RolloutSection section, final RolloutPlan plan, final long revision, final Instant now) {
+        final Rollout known = section.of(plan.service());
+        if (revision <= known.revision()) {
+            return section;
+        }
+        final boolean sameRollout =
+                known.plan().filter(old -> old.order() == plan.order()).isPresent();
+        final boolean sameStage = sameRollout && known.plan().get().stage() == plan.stage();
+        final Rollout planned = known.withPlan(
+                plan, revision, sameStage ? known.stageSince() : now, sameRollout ? known.view() : View.INITIAL);
+        final Instant startedAt = known.order().isEmpty() || plan.startedAt().isBefore(known.startedAt())
+                ? plan.startedAt()
+                : known.startedAt();
+        final RolloutSection next = RolloutCounting.withoutOthers(
+                section.with(plan.service(), planned.withOrder(known.order(), startedAt)), plan);
+        return plan.stage() == RolloutPlan.Stage.SUCCEEDED
+                ? next.withEstablished(
+                        section.established().plus(plan.service(), HashTreePSet.singleton(plan.target())))
+                : next;
+    }
+
+    /** Adds the versions of services for which no version was known, other than versions that an order names. */
+    private static RolloutSection withEstablished(final RolloutSection section, final List<StoreChange> changes) {
+        final Map<ServiceName, PSet<VersionName>> found = new HashMap<>();
+        for (final StoreChange change : changes) {
+            if (change instanceof StoreChange.UpstreamRegistered(RegisteredUpstream upstream)
+                    && !section.established().containsKey(upstream.service())) {
+                found.merge(upstream.service(), HashTreePSet.singleton(upstream.version()), PSet::plusAll);
+            }
+        }
+        PMap<ServiceName, PSet<VersionName>> established = section.established();
+        for (final Map.Entry<ServiceName, PSet<VersionName>> entry : found.entrySet()) {
+            final PSet<VersionName> versions = entry.getValue();
+            final PSet<VersionName> others = versions.minusAll(RolloutRouting.targets(section.of(entry.getKey())));
+            established = established.plus(entry.getKey(), others.isEmpty() ? versions : others);
+        }
+        return found.isEmpty() ? section : section.withEstablished(established);
+    }
+
+    private static RolloutSection withWriteEnded(
+            final RolloutSection section, final RolloutPlan plan, final Optional<Long> revision, final Instant now) {
+        final Rollout known = section.of(plan.service());
+        final Duty duty = new Duty(known.duty().stage(), known.duty().since(), false, now.plus(RETRY_INTERVAL));
+        final RolloutSection ended = section.with(plan.service(), known.with(known.view(), duty));
+        return revision.map(written -> withPlan(ended, plan, written, now)).orElse(ended);
+    }
+
+    private static Outcome<RolloutSection> check(final Blackboard board, final Instant now) {
+        final OutcomeBuilder builder = new OutcomeBuilder();
+        RolloutSection section = RolloutCounting.withoutEndedCalls(board);
+        for (final Map.Entry<ServiceName, Rollout> entry : section.rollouts().entrySet()) {
+            final Rollout known = entry.getValue();
+            final View view = known.isRunning() ? RolloutRouting.view(board, known, now) : known.view();
+            if (view.isStopped() && !known.view().isStopped()) {
+                builder.add(new Effect.Log(Decision.of(
+                        "rollout",
+                        "found bad",
+                        Input.of("service", entry.getKey()),
+                        Input.of("target", known.plan().get().target()),
+                        Input.of("tally", view.tally()))));
+            }
+            final Rollout seen = known.with(view, known.duty());
+            final Optional<RolloutPlan.Stage> due =
+                    RolloutDecision.next(RolloutDuty.situation(board, entry.getKey(), seen, now));
+            final Duty duty = seen.duty().withStage(due, now);
+            final boolean writes = due.isPresent() && RolloutDuty.mayWrite(board, duty, now);
+            if (writes) {
+                final RolloutPlan plan = RolloutDuty.plan(board, seen, due.get());
+                builder.add(new Effect.WriteRolloutPlan(plan, seen.revision()));
+                builder.add(new Effect.Log(Decision.of(
+                        "rollout",
+                        "writing " + plan.stage(),
+                        Input.of("service", plan.service()),
+                        Input.of("target", plan.target()),
+                        Input.of("verdict", view.judgement().verdict()),
+                        Input.of("tally", plan.tally()),
+                        Input.of(
+                                "elapsed_ms",
+                                Duration.between(known.startedAt(), now).toMillis()))));
+            }
+            section = section.with(
+                    entry.getKey(),
+                    seen.with(view, new Duty(duty.stage(), duty.since(), duty.writing() || writes, duty.retryAt())));
+        }
+        return scheduleCheck(section, builder, now);
+    }
+}
--- a/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
@@ -104,6 +104,7 @@
                 && !board.serving().roles().isChanging(upstream, now)
                 && !board.serving().routing().takenOut().contains(upstream.failureDomain())
                 && isInAllowedRegion(board, call, upstream)
+                && RolloutRouting.permits(board, call, upstream, now)
                 && !isEngineBackedOff(board, upstream, now);
     }
 
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -123,7 +123,8 @@
                 uses,
                 AllowanceShare.recentSpending(board, now),
                 PromptReports.create(board.serving().prompts(), now),
-                UpstreamAvailability.reportedLeaving(board, now));
+                UpstreamAvailability.reportedLeaving(board, now),
+                RolloutCounting.reported(board));
         reportReceivers(board, now).forEach(member -> builder.add(new Effect.SendToPeer(member, message)));
         final Instant due = now.plus(SiteSection.BROADCAST_INTERVAL);
         builder.add(new Effect.StartTimer(new TimerKey.LoadBroadcast(), due));
--- a/src/main/java/org/lacewingstep/peer/RecordCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RecordCodec.java
@@ -12,6 +12,8 @@
 
 import org.lacewingstep.blackboard.PeerMessage;
 import org.lacewingstep.blackboard.PromptEvidence;
+import org.lacewingstep.domain.AnswerCounts;
+import org.lacewingstep.domain.AnswerGroup;
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.CellName;
 import org.lacewingstep.domain.FailureDomainName;
@@ -23,12 +25,15 @@
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Reservation;
 import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamStart;
 import org.lacewingstep.domain.UpstreamUse;
+import org.lacewingstep.domain.VersionName;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
+import org.lacewingstep.peer.wire.WireAnswerCounts;
 import org.lacewingstep.peer.wire.WireAttempt;
 import org.lacewingstep.peer.wire.WireMember;
 import org.lacewingstep.peer.wire.WirePromptCrash;
@@ -146,9 +151,42 @@
                     .map(start -> new WireUpstreamStart(start.upstream().value(), start.startedAtMillis()))
                     .toList());
         }
+        if (!load.answers().isEmpty()) {
+            wire.setAnswers(load.answers().entrySet().stream()
+                    .map(entry -> encodeAnswers(entry.getKey(), entry.getValue()))
+                    .toList());
+        }
         return wire;
     }
 
+    private static WireAnswerCounts encodeAnswers(final AnswerGroup group, final AnswerCounts counts) {
+        return new WireAnswerCounts(
+                group.service().value(),
+                group.order(),
+                group.version().value(),
+                group.route(),
+                group.part(),
+                counts.sent(),
+                counts.failed(),
+                counts.served());
+    }
+
+    private static Map<AnswerGroup, AnswerCounts> decodeAnswers(final WireSiteLoad wire) {
+        final Map<AnswerGroup, AnswerCounts> answers = new HashMap<>();
+        if (wire.isSetAnswers()) {
+            wire.getAnswers()
+                    .forEach(counted -> answers.put(
+                            new AnswerGroup(
+                                    new ServiceName(counted.getServiceName()),
+                                    counted.getOrder(),
+                                    new VersionName(counted.getVersion()),
+                                    counted.getRoute(),
+                                    counted.getPart()),
+                            new AnswerCounts(counted.getSent(), counted.getFailed(), counted.getServed())));
+        }
+        return answers;
+    }
+
     static PeerMessage.SiteLoad decodeSiteLoad(final WireSiteLoad wire) {
         final Map<UpstreamName, UpstreamUse> uses = new HashMap<>();
         wire.getUses()
@@ -167,7 +205,7 @@
                     .forEach(start -> leaving.add(new UpstreamStart(
                             new UpstreamName(start.getUpstream()), start.getStartedAtMilliseconds())));
         }
-        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving);
+        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving, decodeAnswers(wire));
     }
 
     private static WirePromptEvidence encodeEvidence(final PromptPart part, final PromptEvidence evidence) {
--- a/src/main/java/org/lacewingstep/peer/RelayCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RelayCodec.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.peer;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -14,14 +15,19 @@
 import org.lacewingstep.domain.PeerAddress;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RolePlan;
+import org.lacewingstep.domain.RolloutOrder;
+import org.lacewingstep.domain.RolloutPlan;
 import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
+import org.lacewingstep.domain.VersionName;
 import org.lacewingstep.peer.wire.WireLoadDigest;
 import org.lacewingstep.peer.wire.WireLoadReport;
 import org.lacewingstep.peer.wire.WireRegisteredUpstream;
 import org.lacewingstep.peer.wire.WireRoleChange;
 import org.lacewingstep.peer.wire.WireRolePlan;
+import org.lacewingstep.peer.wire.WireRolloutOrder;
+import org.lacewingstep.peer.wire.WireRolloutPlan;
 import org.lacewingstep.peer.wire.WireStoreChange;
 import org.lacewingstep.peer.wire.WireStoreUpdate;
 
@@ -78,6 +84,10 @@
             case StoreChange.DomainInService(var domain) -> WireStoreChange.domainInService(domain.value());
             case StoreChange.RolePlanChanged(var plan, long revision) ->
                 WireStoreChange.rolePlan(encodePlan(plan, revision));
+            case StoreChange.RolloutOrdered(var order) -> WireStoreChange.rolloutOrder(encodeOrder(order));
+            case StoreChange.RolloutWithdrawn(var service) -> WireStoreChange.rolloutWithdrawn(service.value());
+            case StoreChange.RolloutPlanChanged(var plan, long revision) ->
+                WireStoreChange.rolloutPlan(encodeRolloutPlan(plan, revision));
             case StoreChange.TableWritten table ->
                 throw new IllegalArgumentException("relays pass no routing tables on");
         };
@@ -99,11 +109,17 @@
             case ROLE_PLAN ->
                 new StoreChange.RolePlanChanged(
                         decodePlan(wire.getRolePlan()), wire.getRolePlan().getRevision());
+            case ROLLOUT_ORDER -> new StoreChange.RolloutOrdered(decodeOrder(wire.getRolloutOrder()));
+            case ROLLOUT_WITHDRAWN -> new StoreChange.RolloutWithdrawn(new ServiceName(wire.getRolloutWithdrawn()));
+            case ROLLOUT_PLAN ->
+                new StoreChange.RolloutPlanChanged(
+                        decodeRolloutPlan(wire.getRolloutPlan()),
+                        wire.getRolloutPlan().getRevision());
         };
     }
 
     private static WireRegisteredUpstream encodeUpstream(final RegisteredUpstream upstream) {
-        return new WireRegisteredUpstream(
+        final WireRegisteredUpstream wire = new WireRegisteredUpstream(
                 upstream.name().value(),
                 upstream.startedAtMillis(),
                 upstream.service().value(),
@@ -114,6 +130,7 @@
                 upstream.slots(),
                 upstream.draining(),
                 upstream.coldFor().toMillis());
+        return wire.setVersion(upstream.version().value());
     }
 
     private static RegisteredUpstream decodeUpstream(final WireRegisteredUpstream wire) {
@@ -126,7 +143,46 @@
                 RecordCodec.constantAt(UpstreamRole.values(), wire.getRole()),
                 wire.getSlots(),
                 wire.isDraining(),
-                Duration.ofMillis(wire.getColdMilliseconds()));
+                Duration.ofMillis(wire.getColdMilliseconds()),
+                wire.isSetVersion() ? new VersionName(wire.getVersion()) : VersionName.UNNAMED);
+    }
+
+    private static WireRolloutOrder encodeOrder(final RolloutOrder order) {
+        return new WireRolloutOrder(
+                order.service().value(), order.target().value(), order.limit().toMillis(), order.revision());
+    }
+
+    private static RolloutOrder decodeOrder(final WireRolloutOrder wire) {
+        return new RolloutOrder(
+                new ServiceName(wire.getServiceName()),
+                new VersionName(wire.getTarget()),
+                Duration.ofMillis(wire.getLimitMilliseconds()),
+                wire.getRevision());
+    }
+
+    private static WireRolloutPlan encodeRolloutPlan(final RolloutPlan plan, final long revision) {
+        return new WireRolloutPlan(
+                plan.service().value(),
+                plan.target().value(),
+                plan.order(),
+                plan.stage().ordinal(),
+                plan.startedAt().toEpochMilli(),
+                plan.tally().requests(),
+                plan.tally().exposed(),
+                plan.tally().bad(),
+                plan.author().value(),
+                revision);
+    }
+
+    private static RolloutPlan decodeRolloutPlan(final WireRolloutPlan wire) {
+        return new RolloutPlan(
+                new ServiceName(wire.getServiceName()),
+                new VersionName(wire.getTarget()),
+                wire.getOrder(),
+                RecordCodec.constantAt(RolloutPlan.Stage.values(), wire.getStage()),
+                Instant.ofEpochMilli(wire.getStartedAtMilliseconds()),
+                new RolloutPlan.Tally(wire.getRequests(), wire.getExposed(), wire.getBad()),
+                new InstanceName(wire.getAuthor()));
     }
 
     private static WireRolePlan encodePlan(final RolePlan plan, final long revision) {
--- a/src/main/java/org/lacewingstep/peer/wire/WireLoadDigest.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireLoadDigest.java
@@ -336,14 +336,14 @@
           case 1: // REPORTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list122 = iprot.readListBegin();
-                struct.reports = new java.util.ArrayList<WireLoadReport>(_list122.size);
-                @org.apache.thrift.annotation.Nullable WireLoadReport _elem123;
-                for (int _i124 = 0; _i124 < _list122.size; ++_i124)
+                org.apache.thrift.protocol.TList _list140 = iprot.readListBegin();
+                struct.reports = new java.util.ArrayList<WireLoadReport>(_list140.size);
+                @org.apache.thrift.annotation.Nullable WireLoadReport _elem141;
+                for (int _i142 = 0; _i142 < _list140.size; ++_i142)
                 {
-                  _elem123 = new WireLoadReport();
-                  _elem123.read(iprot);
-                  struct.reports.add(_elem123);
+                  _elem141 = new WireLoadReport();
+                  _elem141.read(iprot);
+                  struct.reports.add(_elem141);
                 }
                 iprot.readListEnd();
               }
@@ -372,9 +372,9 @@
         oprot.writeFieldBegin(REPORTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-          for (WireLoadReport _iter125 : struct.reports)
+          for (WireLoadReport _iter143 : struct.reports)
           {
-            _iter125.write(oprot);
+            _iter143.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -406,9 +406,9 @@
       if (struct.isSetReports()) {
         {
           oprot.writeI32(struct.reports.size());
-          for (WireLoadReport _iter126 : struct.reports)
+          for (WireLoadReport _iter144 : struct.reports)
           {
-            _iter126.write(oprot);
+            _iter144.write(oprot);
           }
         }
       }
@@ -420,14 +420,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list127 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reports = new java.util.ArrayList<WireLoadReport>(_list127.size);
-          @org.apache.thrift.annotation.Nullable WireLoadReport _elem128;
-          for (int _i129 = 0; _i129 < _list127.size; ++_i129)
+          org.apache.thrift.protocol.TList _list145 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reports = new java.util.ArrayList<WireLoadReport>(_list145.size);
+          @org.apache.thrift.annotation.Nullable WireLoadReport _elem146;
+          for (int _i147 = 0; _i147 < _list145.size; ++_i147)
           {
-            _elem128 = new WireLoadReport();
-            _elem128.read(iprot);
-            struct.reports.add(_elem128);
+            _elem146 = new WireLoadReport();
+            _elem146.read(iprot);
+            struct.reports.add(_elem146);
           }
         }
         struct.setReportsIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WireRegisteredUpstream.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireRegisteredUpstream.java
@@ -20,6 +20,7 @@
   private static final org.apache.thrift.protocol.TField SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("slots", org.apache.thrift.protocol.TType.I32, (short)8);
   private static final org.apache.thrift.protocol.TField DRAINING_FIELD_DESC = new org.apache.thrift.protocol.TField("draining", org.apache.thrift.protocol.TType.BOOL, (short)9);
   private static final org.apache.thrift.protocol.TField COLD_MILLISECONDS_FIELD_DESC = new org.apache.thrift.protocol.TField("coldMilliseconds", org.apache.thrift.protocol.TType.I64, (short)10);
+  private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.STRING, (short)11);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireRegisteredUpstreamStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireRegisteredUpstreamTupleSchemeFactory();
@@ -34,6 +35,7 @@
   private int slots; // required
   private boolean draining; // required
   private long coldMilliseconds; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String version; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -46,7 +48,8 @@
     ROLE((short)7, "role"),
     SLOTS((short)8, "slots"),
     DRAINING((short)9, "draining"),
-    COLD_MILLISECONDS((short)10, "coldMilliseconds");
+    COLD_MILLISECONDS((short)10, "coldMilliseconds"),
+    VERSION((short)11, "version");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -82,6 +85,8 @@
           return DRAINING;
         case 10: // COLD_MILLISECONDS
           return COLD_MILLISECONDS;
+        case 11: // VERSION
+          return VERSION;
         default:
           return null;
       }
@@ -132,6 +137,7 @@
   private static final int __DRAINING_ISSET_ID = 4;
   private static final int __COLDMILLISECONDS_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.VERSION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -155,6 +161,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.COLD_MILLISECONDS, new org.apache.thrift.meta_data.FieldMetaData("coldMilliseconds", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.VERSION, new org.apache.thrift.meta_data.FieldMetaData("version", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireRegisteredUpstream.class, metaDataMap);
   }
@@ -216,6 +224,9 @@
     this.slots = other.slots;
     this.draining = other.draining;
     this.coldMilliseconds = other.coldMilliseconds;
+    if (other.isSetVersion()) {
+      this.version = other.version;
+    }
   }
 
   @Override
@@ -241,6 +252,7 @@
     this.draining = false;
     setColdMillisecondsIsSet(false);
     this.coldMilliseconds = 0;
+    this.version = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -481,6 +493,31 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COLDMILLISECONDS_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getVersion() {
+    return this.version;
+  }
+
+  public WireRegisteredUpstream setVersion(@org.apache.thrift.annotation.Nullable java.lang.String version) {
+    this.version = version;
+    return this;
+  }
+
+  public void unsetVersion() {
+    this.version = null;
+  }
+
+  /** Returns true if field version is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersion() {
+    return this.version != null;
+  }
+
+  public void setVersionIsSet(boolean value) {
+    if (!value) {
+      this.version = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -564,6 +601,14 @@
       }
       break;
 
+    case VERSION:
+      if (value == null) {
+        unsetVersion();
+      } else {
+        setVersion((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -601,6 +646,9 @@
     case COLD_MILLISECONDS:
       return getColdMilliseconds();
 
+    case VERSION:
+      return getVersion();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -633,6 +681,8 @@
       return isSetDraining();
     case COLD_MILLISECONDS:
       return isSetColdMilliseconds();
+    case VERSION:
+      return isSetVersion();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -740,6 +790,15 @@
         return false;
     }
 
+    boolean this_present_version = true && this.isSetVersion();
+    boolean that_present_version = true && that.isSetVersion();
+    if (this_present_version || that_present_version) {
+      if (!(this_present_version && that_present_version))
+        return false;
+      if (!this.version.equals(that.version))
+        return false;
+    }
+
     return true;
   }
 
@@ -775,6 +834,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(coldMilliseconds);
 
+    hashCode = hashCode * 8191 + ((isSetVersion()) ? 131071 : 524287);
+    if (isSetVersion())
+      hashCode = hashCode * 8191 + version.hashCode();
+
     return hashCode;
   }
 
@@ -886,6 +949,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetVersion(), other.isSetVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.version, other.version);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -965,6 +1038,16 @@
     sb.append("coldMilliseconds:");
     sb.append(this.coldMilliseconds);
     first = false;
+    if (isSetVersion()) {
+      if (!first) sb.append(", ");
+      sb.append("version:");
+      if (this.version == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.version);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1092,6 +1175,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 11: // VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.version = iprot.readString();
+              struct.setVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1146,6 +1237,13 @@
       oprot.writeFieldBegin(COLD_MILLISECONDS_FIELD_DESC);
       oprot.writeI64(struct.coldMilliseconds);
       oprot.writeFieldEnd();
+      if (struct.version != null) {
+        if (struct.isSetVersion()) {
+          oprot.writeFieldBegin(VERSION_FIELD_DESC);
+          oprot.writeString(struct.version);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1195,7 +1293,10 @@
       if (struct.isSetColdMilliseconds()) {
         optionals.set(9);
       }
-      oprot.writeBitSet(optionals, 10);
+      if (struct.isSetVersion()) {
+        optionals.set(10);
+      }
+      oprot.writeBitSet(optionals, 11);
       if (struct.isSetName()) {
         oprot.writeString(struct.name);
       }
@@ -1226,12 +1327,15 @@
       if (struct.isSetColdMilliseconds()) {
         oprot.writeI64(struct.coldMilliseconds);
       }
+      if (struct.isSetVersion()) {
+        oprot.writeString(struct.version);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireRegisteredUpstream struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(10);
+      java.util.BitSet incoming = iprot.readBitSet(11);
       if (incoming.get(0)) {
         struct.name = iprot.readString();
         struct.setNameIsSet(true);
@@ -1272,6 +1376,10 @@
         struct.coldMilliseconds = iprot.readI64();
         struct.setColdMillisecondsIsSet(true);
       }
+      if (incoming.get(10)) {
+        struct.version = iprot.readString();
+        struct.setVersionIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/lacewingstep/peer/wire/WireRolePlan.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireRolePlan.java
@@ -505,14 +505,14 @@
           case 2: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list106 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<WireRoleChange>(_list106.size);
-                @org.apache.thrift.annotation.Nullable WireRoleChange _elem107;
-                for (int _i108 = 0; _i108 < _list106.size; ++_i108)
+                org.apache.thrift.protocol.TList _list124 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<WireRoleChange>(_list124.size);
+                @org.apache.thrift.annotation.Nullable WireRoleChange _elem125;
+                for (int _i126 = 0; _i126 < _list124.size; ++_i126)
                 {
-                  _elem107 = new WireRoleChange();
-                  _elem107.read(iprot);
-                  struct.changes.add(_elem107);
+                  _elem125 = new WireRoleChange();
+                  _elem125.read(iprot);
+                  struct.changes.add(_elem125);
                 }
                 iprot.readListEnd();
               }
@@ -554,9 +554,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (WireRoleChange _iter109 : struct.changes)
+          for (WireRoleChange _iter127 : struct.changes)
           {
-            _iter109.write(oprot);
+            _iter127.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -600,9 +600,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (WireRoleChange _iter110 : struct.changes)
+          for (WireRoleChange _iter128 : struct.changes)
           {
-            _iter110.write(oprot);
+            _iter128.write(oprot);
           }
         }
       }
@@ -621,14 +621,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list111 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<WireRoleChange>(_list111.size);
-          @org.apache.thrift.annotation.Nullable WireRoleChange _elem112;
-          for (int _i113 = 0; _i113 < _list111.size; ++_i113)
+          org.apache.thrift.protocol.TList _list129 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<WireRoleChange>(_list129.size);
+          @org.apache.thrift.annotation.Nullable WireRoleChange _elem130;
+          for (int _i131 = 0; _i131 < _list129.size; ++_i131)
           {
-            _elem112 = new WireRoleChange();
-            _elem112.read(iprot);
-            struct.changes.add(_elem112);
+            _elem130 = new WireRoleChange();
+            _elem130.read(iprot);
+            struct.changes.add(_elem130);
           }
         }
         struct.setChangesIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField SPENT_FIELD_DESC = new org.apache.thrift.protocol.TField("spent", org.apache.thrift.protocol.TType.MAP, (short)2);
   private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField ANSWERS_FIELD_DESC = new org.apache.thrift.protocol.TField("answers", org.apache.thrift.protocol.TType.LIST, (short)22);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireSiteLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireSiteLoadTupleSchemeFactory();
@@ -22,13 +23,15 @@
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Double> spent; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<WirePromptEvidence> prompts; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<WireUpstreamStart> leaving; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<WireAnswerCounts> answers; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     USES((short)1, "uses"),
     SPENT((short)2, "spent"),
     PROMPTS((short)3, "prompts"),
-    LEAVING((short)4, "leaving");
+    LEAVING((short)4, "leaving"),
+    ANSWERS((short)22, "answers");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return PROMPTS;
         case 4: // LEAVING
           return LEAVING;
+        case 22: // ANSWERS
+          return ANSWERS;
         default:
           return null;
       }
@@ -95,7 +100,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING};
+  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING,_Fields.ANSWERS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -112,6 +117,9 @@
     tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireUpstreamStart.class))));
+    tmpMap.put(_Fields.ANSWERS, new org.apache.thrift.meta_data.FieldMetaData("answers", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireAnswerCounts.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireSiteLoad.class, metaDataMap);
   }
@@ -157,6 +165,13 @@
       }
       this.leaving = __this__leaving;
     }
+    if (other.isSetAnswers()) {
+      java.util.List<WireAnswerCounts> __this__answers = new java.util.ArrayList<WireAnswerCounts>(other.answers.size());
+      for (WireAnswerCounts other_element : other.answers) {
+        __this__answers.add(new WireAnswerCounts(other_element));
+      }
+      this.answers = __this__answers;
+    }
   }
 
   @Override
@@ -170,6 +185,7 @@
     this.spent = null;
     this.prompts = null;
     this.leaving = null;
+    this.answers = null;
   }
 
   public int getUsesSize() {
@@ -331,6 +347,47 @@
     }
   }
 
+  public int getAnswersSize() {
+    return (this.answers == null) ? 0 : this.answers.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WireAnswerCounts> getAnswersIterator() {
+    return (this.answers == null) ? null : this.answers.iterator();
+  }
+
+  public void addToAnswers(WireAnswerCounts elem) {
+    if (this.answers == null) {
+      this.answers = new java.util.ArrayList<WireAnswerCounts>();
+    }
+    this.answers.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WireAnswerCounts> getAnswers() {
+    return this.answers;
+  }
+
+  public WireSiteLoad setAnswers(@org.apache.thrift.annotation.Nullable java.util.List<WireAnswerCounts> answers) {
+    this.answers = answers;
+    return this;
+  }
+
+  public void unsetAnswers() {
+    this.answers = null;
+  }
+
+  /** Returns true if field answers is set (has been assigned a value) and false otherwise */
+  public boolean isSetAnswers() {
+    return this.answers != null;
+  }
+
+  public void setAnswersIsSet(boolean value) {
+    if (!value) {
+      this.answers = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -366,6 +423,14 @@
       }
       break;
 
+    case ANSWERS:
+      if (value == null) {
+        unsetAnswers();
+      } else {
+        setAnswers((java.util.List<WireAnswerCounts>)value);
+      }
+      break;
+
     }
   }
 
@@ -385,6 +450,9 @@
     case LEAVING:
       return getLeaving();
 
+    case ANSWERS:
+      return getAnswers();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -405,6 +473,8 @@
       return isSetPrompts();
     case LEAVING:
       return isSetLeaving();
+    case ANSWERS:
+      return isSetAnswers();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -458,6 +528,15 @@
         return false;
     }
 
+    boolean this_present_answers = true && this.isSetAnswers();
+    boolean that_present_answers = true && that.isSetAnswers();
+    if (this_present_answers || that_present_answers) {
+      if (!(this_present_answers && that_present_answers))
+        return false;
+      if (!this.answers.equals(that.answers))
+        return false;
+    }
+
     return true;
   }
 
@@ -481,6 +560,10 @@
     if (isSetLeaving())
       hashCode = hashCode * 8191 + leaving.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetAnswers()) ? 131071 : 524287);
+    if (isSetAnswers())
+      hashCode = hashCode * 8191 + answers.hashCode();
+
     return hashCode;
   }
 
@@ -532,6 +615,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAnswers(), other.isSetAnswers());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAnswers()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.answers, other.answers);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -591,6 +684,16 @@
       }
       first = false;
     }
+    if (isSetAnswers()) {
+      if (!first) sb.append(", ");
+      sb.append("answers:");
+      if (this.answers == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.answers);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -639,14 +742,14 @@
           case 1: // USES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
-                struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list72.size);
-                @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem73;
-                for (int _i74 = 0; _i74 < _list72.size; ++_i74)
+                org.apache.thrift.protocol.TList _list82 = iprot.readListBegin();
+                struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list82.size);
+                @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem83;
+                for (int _i84 = 0; _i84 < _list82.size; ++_i84)
                 {
-                  _elem73 = new WireUpstreamUse();
-                  _elem73.read(iprot);
-                  struct.uses.add(_elem73);
+                  _elem83 = new WireUpstreamUse();
+                  _elem83.read(iprot);
+                  struct.uses.add(_elem83);
                 }
                 iprot.readListEnd();
               }
@@ -658,15 +761,15 @@
           case 2: // SPENT
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map75 = iprot.readMapBegin();
-                struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map75.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key76;
-                double _val77;
-                for (int _i78 = 0; _i78 < _map75.size; ++_i78)
+                org.apache.thrift.protocol.TMap _map85 = iprot.readMapBegin();
+                struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map85.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key86;
+                double _val87;
+                for (int _i88 = 0; _i88 < _map85.size; ++_i88)
                 {
-                  _key76 = iprot.readString();
-                  _val77 = iprot.readDouble();
-                  struct.spent.put(_key76, _val77);
+                  _key86 = iprot.readString();
+                  _val87 = iprot.readDouble();
+                  struct.spent.put(_key86, _val87);
                 }
                 iprot.readMapEnd();
               }
@@ -678,14 +781,14 @@
           case 3: // PROMPTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list79 = iprot.readListBegin();
-                struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list79.size);
-                @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem80;
-                for (int _i81 = 0; _i81 < _list79.size; ++_i81)
+                org.apache.thrift.protocol.TList _list89 = iprot.readListBegin();
+                struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list89.size);
+                @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem90;
+                for (int _i91 = 0; _i91 < _list89.size; ++_i91)
                 {
-                  _elem80 = new WirePromptEvidence();
-                  _elem80.read(iprot);
-                  struct.prompts.add(_elem80);
+                  _elem90 = new WirePromptEvidence();
+                  _elem90.read(iprot);
+                  struct.prompts.add(_elem90);
                 }
                 iprot.readListEnd();
               }
@@ -697,14 +800,14 @@
           case 4: // LEAVING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list82 = iprot.readListBegin();
-                struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list82.size);
-                @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem83;
-                for (int _i84 = 0; _i84 < _list82.size; ++_i84)
+                org.apache.thrift.protocol.TList _list92 = iprot.readListBegin();
+                struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list92.size);
+                @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem93;
+                for (int _i94 = 0; _i94 < _list92.size; ++_i94)
                 {
-                  _elem83 = new WireUpstreamStart();
-                  _elem83.read(iprot);
-                  struct.leaving.add(_elem83);
+                  _elem93 = new WireUpstreamStart();
+                  _elem93.read(iprot);
+                  struct.leaving.add(_elem93);
                 }
                 iprot.readListEnd();
               }
@@ -713,6 +816,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 22: // ANSWERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list95 = iprot.readListBegin();
+                struct.answers = new java.util.ArrayList<WireAnswerCounts>(_list95.size);
+                @org.apache.thrift.annotation.Nullable WireAnswerCounts _elem96;
+                for (int _i97 = 0; _i97 < _list95.size; ++_i97)
+                {
+                  _elem96 = new WireAnswerCounts();
+                  _elem96.read(iprot);
+                  struct.answers.add(_elem96);
+                }
+                iprot.readListEnd();
+              }
+              struct.setAnswersIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -733,9 +855,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (WireUpstreamUse _iter85 : struct.uses)
+          for (WireUpstreamUse _iter98 : struct.uses)
           {
-            _iter85.write(oprot);
+            _iter98.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -745,10 +867,10 @@
         oprot.writeFieldBegin(SPENT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE, struct.spent.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter86 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter99 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter86.getKey());
-            oprot.writeDouble(_iter86.getValue());
+            oprot.writeString(_iter99.getKey());
+            oprot.writeDouble(_iter99.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -759,9 +881,9 @@
           oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-            for (WirePromptEvidence _iter87 : struct.prompts)
+            for (WirePromptEvidence _iter100 : struct.prompts)
             {
-              _iter87.write(oprot);
+              _iter100.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -773,9 +895,23 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (WireUpstreamStart _iter88 : struct.leaving)
+            for (WireUpstreamStart _iter101 : struct.leaving)
             {
-              _iter88.write(oprot);
+              _iter101.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.answers != null) {
+        if (struct.isSetAnswers()) {
+          oprot.writeFieldBegin(ANSWERS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.answers.size()));
+            for (WireAnswerCounts _iter102 : struct.answers)
+            {
+              _iter102.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -813,41 +949,53 @@
       if (struct.isSetLeaving()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetAnswers()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetUses()) {
         {
           oprot.writeI32(struct.uses.size());
-          for (WireUpstreamUse _iter89 : struct.uses)
+          for (WireUpstreamUse _iter103 : struct.uses)
           {
-            _iter89.write(oprot);
+            _iter103.write(oprot);
           }
         }
       }
       if (struct.isSetSpent()) {
         {
           oprot.writeI32(struct.spent.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter90 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter104 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter90.getKey());
-            oprot.writeDouble(_iter90.getValue());
+            oprot.writeString(_iter104.getKey());
+            oprot.writeDouble(_iter104.getValue());
           }
         }
       }
       if (struct.isSetPrompts()) {
         {
           oprot.writeI32(struct.prompts.size());
-          for (WirePromptEvidence _iter91 : struct.prompts)
+          for (WirePromptEvidence _iter105 : struct.prompts)
           {
-            _iter91.write(oprot);
+            _iter105.write(oprot);
           }
         }
       }
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (WireUpstreamStart _iter92 : struct.leaving)
+          for (WireUpstreamStart _iter106 : struct.leaving)
           {
-            _iter92.write(oprot);
+            _iter106.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetAnswers()) {
+        {
+          oprot.writeI32(struct.answers.size());
+          for (WireAnswerCounts _iter107 : struct.answers)
+          {
+            _iter107.write(oprot);
           }
         }
       }
@@ -856,64 +1004,78 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireSiteLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list93 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list93.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem94;
-          for (int _i95 = 0; _i95 < _list93.size; ++_i95)
+          org.apache.thrift.protocol.TList _list108 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list108.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem109;
+          for (int _i110 = 0; _i110 < _list108.size; ++_i110)
           {
-            _elem94 = new WireUpstreamUse();
-            _elem94.read(iprot);
-            struct.uses.add(_elem94);
+            _elem109 = new WireUpstreamUse();
+            _elem109.read(iprot);
+            struct.uses.add(_elem109);
           }
         }
         struct.setUsesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map96 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
-          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map96.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key97;
-          double _val98;
-          for (int _i99 = 0; _i99 < _map96.size; ++_i99)
+          org.apache.thrift.protocol.TMap _map111 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
+          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map111.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key112;
+          double _val113;
+          for (int _i114 = 0; _i114 < _map111.size; ++_i114)
           {
-            _key97 = iprot.readString();
-            _val98 = iprot.readDouble();
-            struct.spent.put(_key97, _val98);
+            _key112 = iprot.readString();
+            _val113 = iprot.readDouble();
+            struct.spent.put(_key112, _val113);
           }
         }
         struct.setSpentIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list100 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list100.size);
-          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem101;
-          for (int _i102 = 0; _i102 < _list100.size; ++_i102)
+          org.apache.thrift.protocol.TList _list115 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list115.size);
+          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem116;
+          for (int _i117 = 0; _i117 < _list115.size; ++_i117)
           {
-            _elem101 = new WirePromptEvidence();
-            _elem101.read(iprot);
-            struct.prompts.add(_elem101);
+            _elem116 = new WirePromptEvidence();
+            _elem116.read(iprot);
+            struct.prompts.add(_elem116);
           }
         }
         struct.setPromptsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list103 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list103.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem104;
-          for (int _i105 = 0; _i105 < _list103.size; ++_i105)
+          org.apache.thrift.protocol.TList _list118 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list118.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem119;
+          for (int _i120 = 0; _i120 < _list118.size; ++_i120)
           {
-            _elem104 = new WireUpstreamStart();
-            _elem104.read(iprot);
-            struct.leaving.add(_elem104);
+            _elem119 = new WireUpstreamStart();
+            _elem119.read(iprot);
+            struct.leaving.add(_elem119);
           }
         }
         struct.setLeavingIsSet(true);
       }
+      if (incoming.get(4)) {
+        {
+          org.apache.thrift.protocol.TList _list121 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.answers = new java.util.ArrayList<WireAnswerCounts>(_list121.size);
+          @org.apache.thrift.annotation.Nullable WireAnswerCounts _elem122;
+          for (int _i123 = 0; _i123 < _list121.size; ++_i123)
+          {
+            _elem122 = new WireAnswerCounts();
+            _elem122.read(iprot);
+            struct.answers.add(_elem122);
+          }
+        }
+        struct.setAnswersIsSet(true);
+      }
     }
   }
 
--- a/src/main/java/org/lacewingstep/peer/wire/WireStoreChange.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireStoreChange.java
@@ -16,6 +16,9 @@
   private static final org.apache.thrift.protocol.TField DOMAIN_OUT_OF_SERVICE_FIELD_DESC = new org.apache.thrift.protocol.TField("domainOutOfService", org.apache.thrift.protocol.TType.STRING, (short)5);
   private static final org.apache.thrift.protocol.TField DOMAIN_IN_SERVICE_FIELD_DESC = new org.apache.thrift.protocol.TField("domainInService", org.apache.thrift.protocol.TType.STRING, (short)6);
   private static final org.apache.thrift.protocol.TField ROLE_PLAN_FIELD_DESC = new org.apache.thrift.protocol.TField("rolePlan", org.apache.thrift.protocol.TType.STRUCT, (short)7);
+  private static final org.apache.thrift.protocol.TField ROLLOUT_ORDER_FIELD_DESC = new org.apache.thrift.protocol.TField("rolloutOrder", org.apache.thrift.protocol.TType.STRUCT, (short)8);
+  private static final org.apache.thrift.protocol.TField ROLLOUT_WITHDRAWN_FIELD_DESC = new org.apache.thrift.protocol.TField("rolloutWithdrawn", org.apache.thrift.protocol.TType.STRING, (short)9);
+  private static final org.apache.thrift.protocol.TField ROLLOUT_PLAN_FIELD_DESC = new org.apache.thrift.protocol.TField("rolloutPlan", org.apache.thrift.protocol.TType.STRUCT, (short)10);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -25,7 +28,10 @@
     INSTANCE_UNREGISTERED((short)4, "instanceUnregistered"),
     DOMAIN_OUT_OF_SERVICE((short)5, "domainOutOfService"),
     DOMAIN_IN_SERVICE((short)6, "domainInService"),
-    ROLE_PLAN((short)7, "rolePlan");
+    ROLE_PLAN((short)7, "rolePlan"),
+    ROLLOUT_ORDER((short)8, "rolloutOrder"),
+    ROLLOUT_WITHDRAWN((short)9, "rolloutWithdrawn"),
+    ROLLOUT_PLAN((short)10, "rolloutPlan");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,6 +61,12 @@
           return DOMAIN_IN_SERVICE;
         case 7: // ROLE_PLAN
           return ROLE_PLAN;
+        case 8: // ROLLOUT_ORDER
+          return ROLLOUT_ORDER;
+        case 9: // ROLLOUT_WITHDRAWN
+          return ROLLOUT_WITHDRAWN;
+        case 10: // ROLLOUT_PLAN
+          return ROLLOUT_PLAN;
         default:
           return null;
       }
@@ -114,6 +126,12 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.ROLE_PLAN, new org.apache.thrift.meta_data.FieldMetaData("rolePlan", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireRolePlan.class)));
+    tmpMap.put(_Fields.ROLLOUT_ORDER, new org.apache.thrift.meta_data.FieldMetaData("rolloutOrder", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireRolloutOrder.class)));
+    tmpMap.put(_Fields.ROLLOUT_WITHDRAWN, new org.apache.thrift.meta_data.FieldMetaData("rolloutWithdrawn", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.ROLLOUT_PLAN, new org.apache.thrift.meta_data.FieldMetaData("rolloutPlan", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireRolloutPlan.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireStoreChange.class, metaDataMap);
   }
@@ -176,6 +194,24 @@
     return x;
   }
 
+  public static WireStoreChange rolloutOrder(WireRolloutOrder value) {
+    WireStoreChange x = new WireStoreChange();
+    x.setRolloutOrder(value);
+    return x;
+  }
+
+  public static WireStoreChange rolloutWithdrawn(java.lang.String value) {
+    WireStoreChange x = new WireStoreChange();
+    x.setRolloutWithdrawn(value);
+    return x;
+  }
+
+  public static WireStoreChange rolloutPlan(WireRolloutPlan value) {
+    WireStoreChange x = new WireStoreChange();
+    x.setRolloutPlan(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -215,6 +251,21 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type WireRolePlan for field 'rolePlan', but got " + value.getClass().getSimpleName());
+      case ROLLOUT_ORDER:
+        if (value instanceof WireRolloutOrder) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type WireRolloutOrder for field 'rolloutOrder', but got " + value.getClass().getSimpleName());
+      case ROLLOUT_WITHDRAWN:
+        if (value instanceof java.lang.String) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type java.lang.String for field 'rolloutWithdrawn', but got " + value.getClass().getSimpleName());
+      case ROLLOUT_PLAN:
+        if (value instanceof WireRolloutPlan) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type WireRolloutPlan for field 'rolloutPlan', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -291,6 +342,35 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case ROLLOUT_ORDER:
+          if (field.type == ROLLOUT_ORDER_FIELD_DESC.type) {
+            WireRolloutOrder rolloutOrder;
+            rolloutOrder = new WireRolloutOrder();
+            rolloutOrder.read(iprot);
+            return rolloutOrder;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case ROLLOUT_WITHDRAWN:
+          if (field.type == ROLLOUT_WITHDRAWN_FIELD_DESC.type) {
+            java.lang.String rolloutWithdrawn;
+            rolloutWithdrawn = iprot.readString();
+            return rolloutWithdrawn;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case ROLLOUT_PLAN:
+          if (field.type == ROLLOUT_PLAN_FIELD_DESC.type) {
+            WireRolloutPlan rolloutPlan;
+            rolloutPlan = new WireRolloutPlan();
+            rolloutPlan.read(iprot);
+            return rolloutPlan;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -331,6 +411,18 @@
         WireRolePlan rolePlan = (WireRolePlan)value_;
         rolePlan.write(oprot);
         return;
+      case ROLLOUT_ORDER:
+        WireRolloutOrder rolloutOrder = (WireRolloutOrder)value_;
+        rolloutOrder.write(oprot);
+        return;
+      case ROLLOUT_WITHDRAWN:
+        java.lang.String rolloutWithdrawn = (java.lang.String)value_;
+        oprot.writeString(rolloutWithdrawn);
+        return;
+      case ROLLOUT_PLAN:
+        WireRolloutPlan rolloutPlan = (WireRolloutPlan)value_;
+        rolloutPlan.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -372,6 +464,20 @@
           rolePlan = new WireRolePlan();
           rolePlan.read(iprot);
           return rolePlan;
+        case ROLLOUT_ORDER:
+          WireRolloutOrder rolloutOrder;
+          rolloutOrder = new WireRolloutOrder();
+          rolloutOrder.read(iprot);
+          return rolloutOrder;
+        case ROLLOUT_WITHDRAWN:
+          java.lang.String rolloutWithdrawn;
+          rolloutWithdrawn = iprot.readString();
+          return rolloutWithdrawn;
+        case ROLLOUT_PLAN:
+          WireRolloutPlan rolloutPlan;
+          rolloutPlan = new WireRolloutPlan();
+          rolloutPlan.read(iprot);
+          return rolloutPlan;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -411,6 +517,18 @@
         WireRolePlan rolePlan = (WireRolePlan)value_;
         rolePlan.write(oprot);
         return;
+      case ROLLOUT_ORDER:
+        WireRolloutOrder rolloutOrder = (WireRolloutOrder)value_;
+        rolloutOrder.write(oprot);
+        return;
+      case ROLLOUT_WITHDRAWN:
+        java.lang.String rolloutWithdrawn = (java.lang.String)value_;
+        oprot.writeString(rolloutWithdrawn);
+        return;
+      case ROLLOUT_PLAN:
+        WireRolloutPlan rolloutPlan = (WireRolloutPlan)value_;
+        rolloutPlan.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -433,6 +551,12 @@
         return DOMAIN_IN_SERVICE_FIELD_DESC;
       case ROLE_PLAN:
         return ROLE_PLAN_FIELD_DESC;
+      case ROLLOUT_ORDER:
+        return ROLLOUT_ORDER_FIELD_DESC;
+      case ROLLOUT_WITHDRAWN:
+        return ROLLOUT_WITHDRAWN_FIELD_DESC;
+      case ROLLOUT_PLAN:
+        return ROLLOUT_PLAN_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -546,6 +670,45 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.ROLE_PLAN");
   }
 
+  public WireRolloutOrder getRolloutOrder() {
+    if (getSetField() == _Fields.ROLLOUT_ORDER) {
+      return (WireRolloutOrder)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'rolloutOrder' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setRolloutOrder(WireRolloutOrder value) {
+    setField_ = _Fields.ROLLOUT_ORDER;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.ROLLOUT_ORDER");
+  }
+
+  public java.lang.String getRolloutWithdrawn() {
+    if (getSetField() == _Fields.ROLLOUT_WITHDRAWN) {
+      return (java.lang.String)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'rolloutWithdrawn' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setRolloutWithdrawn(java.lang.String value) {
+    setField_ = _Fields.ROLLOUT_WITHDRAWN;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.ROLLOUT_WITHDRAWN");
+  }
+
+  public WireRolloutPlan getRolloutPlan() {
+    if (getSetField() == _Fields.ROLLOUT_PLAN) {
+      return (WireRolloutPlan)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'rolloutPlan' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setRolloutPlan(WireRolloutPlan value) {
+    setField_ = _Fields.ROLLOUT_PLAN;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.ROLLOUT_PLAN");
+  }
+
   public boolean isSetUpstreamRegistered() {
     return setField_ == _Fields.UPSTREAM_REGISTERED;
   }
@@ -581,6 +744,21 @@
   }
 
 
+  public boolean isSetRolloutOrder() {
+    return setField_ == _Fields.ROLLOUT_ORDER;
+  }
+
+
+  public boolean isSetRolloutWithdrawn() {
+    return setField_ == _Fields.ROLLOUT_WITHDRAWN;
+  }
+
+
+  public boolean isSetRolloutPlan() {
+    return setField_ == _Fields.ROLLOUT_PLAN;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof WireStoreChange) {
       return equals((WireStoreChange)other);
--- a/src/main/java/org/lacewingstep/peer/wire/WireStoreUpdate.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireStoreUpdate.java
@@ -672,14 +672,14 @@
           case 5: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list114 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<WireStoreChange>(_list114.size);
-                @org.apache.thrift.annotation.Nullable WireStoreChange _elem115;
-                for (int _i116 = 0; _i116 < _list114.size; ++_i116)
+                org.apache.thrift.protocol.TList _list132 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<WireStoreChange>(_list132.size);
+                @org.apache.thrift.annotation.Nullable WireStoreChange _elem133;
+                for (int _i134 = 0; _i134 < _list132.size; ++_i134)
                 {
-                  _elem115 = new WireStoreChange();
-                  _elem115.read(iprot);
-                  struct.changes.add(_elem115);
+                  _elem133 = new WireStoreChange();
+                  _elem133.read(iprot);
+                  struct.changes.add(_elem133);
                 }
                 iprot.readListEnd();
               }
@@ -720,9 +720,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (WireStoreChange _iter117 : struct.changes)
+          for (WireStoreChange _iter135 : struct.changes)
           {
-            _iter117.write(oprot);
+            _iter135.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -778,9 +778,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (WireStoreChange _iter118 : struct.changes)
+          for (WireStoreChange _iter136 : struct.changes)
           {
-            _iter118.write(oprot);
+            _iter136.write(oprot);
           }
         }
       }
@@ -808,14 +808,14 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<WireStoreChange>(_list119.size);
-          @org.apache.thrift.annotation.Nullable WireStoreChange _elem120;
-          for (int _i121 = 0; _i121 < _list119.size; ++_i121)
+          org.apache.thrift.protocol.TList _list137 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<WireStoreChange>(_list137.size);
+          @org.apache.thrift.annotation.Nullable WireStoreChange _elem138;
+          for (int _i139 = 0; _i139 < _list137.size; ++_i139)
           {
-            _elem120 = new WireStoreChange();
-            _elem120.read(iprot);
-            struct.changes.add(_elem120);
+            _elem138 = new WireStoreChange();
+            _elem138.read(iprot);
+            struct.changes.add(_elem138);
           }
         }
         struct.setChangesIsSet(true);
--- a/src/main/java/org/lacewingstep/platform/PlatformSettings.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformSettings.java
@@ -13,6 +13,7 @@
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.PeerAddress;
 import org.lacewingstep.domain.RegionName;
+import org.lacewingstep.domain.RolloutBounds;
 import org.lacewingstep.domain.SitePolicy;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
@@ -88,7 +89,13 @@
         final double coldExcess = bounds.number(SiteBound.COLD_EXCESS);
         final double coldSlack = bounds.number(SiteBound.COLD_SLACK);
         final Duration orderInterval = bounds.milliseconds(SiteBound.ORDER_INTERVAL);
+        final double exposureShare = bounds.fraction(SiteBound.EXPOSURE_SHARE);
+        final double exposureSlack = bounds.number(SiteBound.EXPOSURE_SLACK);
+        final Duration rollbackLimit = bounds.milliseconds(SiteBound.ROLLBACK);
         faults.throwIfAny(ErrorCode.SETTINGS_INVALID);
+        final RolloutBounds rollout = contracts.isInForce(SiteBound.EXPOSURE_SHARE.contract())
+                ? new RolloutBounds(exposureShare, exposureSlack, rollbackLimit)
+                : RolloutBounds.NONE;
         final SitePolicy policy = new SitePolicy(
                 new InstanceName(instance),
                 new FailureDomainName(domain),
@@ -103,7 +110,8 @@
                 rateSlack,
                 coldExcess,
                 coldSlack,
-                orderInterval);
+                orderInterval,
+                rollout);
         return new PlatformSettings(
                 policy,
                 callerAddress,
@@ -148,6 +156,15 @@
             return value.asDouble();
         }
 
+        double fraction(final SiteBound bound) {
+            final double value = number(bound);
+            if (value > 1) {
+                addFault(bound, "must be a number of one or less");
+                return bound.absentValue();
+            }
+            return value;
+        }
+
         Duration milliseconds(final SiteBound bound) {
             return positive(bound, number(bound));
         }
--- a/src/main/java/org/lacewingstep/platform/PlatformStoreAdapter.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreAdapter.java
@@ -12,10 +12,12 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.RolloutOccurrence;
 import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.PeerAddress;
 import org.lacewingstep.domain.RolePlan;
+import org.lacewingstep.domain.RolloutPlan;
 import org.lacewingstep.platform.PlatformStoreClient.StoreResponse;
 import ratpack.exec.ExecController;
 import ratpack.exec.Promise;
@@ -221,6 +223,41 @@
                 failure -> new Event.RolePlanWriteEnded(plan, Optional.empty(), requestedAt));
     }
 
+    /**
+     * Writes the plan of a rollout and the state for the operators, unless the store holds another revision.
+     *
+     * @param plan the plan, not null
+     * @param expectedRevision the revision of the plan that must be in the store, zero if there must be none
+     */
+    public void writeRolloutPlan(final RolloutPlan plan, final long expectedRevision) {
+        final ObjectNode body = MAPPER.createObjectNode();
+        body.putArray("precondition")
+                .addObject()
+                .put("key", RolloutCodec.planKey(plan.service()))
+                .put("revision", expectedRevision);
+        body.putArray("writes")
+                .add(write(RolloutCodec.planKey(plan.service()), RolloutCodec.encodePlan(plan)))
+                .add(write(RolloutCodec.statusKey(plan.service()), RolloutCodec.encodeStatus(plan)));
+        body.putArray("remove");
+        run(
+                store.post(TRANSACTION_PATH, body)
+                        .map(response -> rolloutPlanEvent(
+                                plan,
+                                response.status() == HTTP_OK
+                                        ? Optional.of(
+                                                response.body().path("revision").asLong())
+                                        : Optional.empty())),
+                failure -> rolloutPlanEvent(plan, Optional.empty()));
+    }
+
+    private static Event rolloutPlanEvent(final RolloutPlan plan, final Optional<Long> revision) {
+        return new Event.RolloutAdvanced(new RolloutOccurrence.PlanWriteEnded(plan, revision));
+    }
+
+    private static ObjectNode write(final String key, final String value) {
+        return MAPPER.createObjectNode().put("key", key).put("value", value).put("lease", 0);
+    }
+
     private static ObjectNode presenceTransaction(final Member self, final long lease) {
         final ObjectNode body = MAPPER.createObjectNode();
         body.putArray("precondition");
--- a/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreCodec.java
@@ -24,6 +24,7 @@
 import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
+import org.lacewingstep.domain.VersionName;
 import org.lacewingstep.error.Validate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -87,6 +88,9 @@
 
     private static Optional<StoreChange> decodePrefixed(final JsonNode item, final String key, final boolean deleted)
             throws IOException {
+        if (RolloutCodec.isRolloutKey(key)) {
+            return deleted ? RolloutCodec.decodeRemoval(key) : Optional.of(decodeRollout(item, key));
+        }
         if (key.startsWith(EVACUATION_PREFIX)) {
             final FailureDomainName domain = new FailureDomainName(key.substring(EVACUATION_PREFIX.length()));
             return Optional.of(
@@ -108,6 +112,10 @@
         return Optional.empty();
     }
 
+    private static StoreChange decodeRollout(final JsonNode item, final String key) throws IOException {
+        return RolloutCodec.decode(key, decodeEntry(item), item.path("revision").asLong());
+    }
+
     /**
      * Encodes the store entry of an instance.
      *
@@ -190,7 +198,12 @@
                 upstreamRole(entry),
                 intField(entry, "slots"),
                 isDraining(entry),
-                coldFor(entry));
+                coldFor(entry),
+                version(entry));
+    }
+
+    private static VersionName version(final JsonNode entry) {
+        return new VersionName(entry.path("version").asText());
     }
 
     private static boolean isDraining(final JsonNode entry) {
--- a/src/main/java/org/lacewingstep/platform/SiteBound.java
+++ b/src/main/java/org/lacewingstep/platform/SiteBound.java
@@ -26,7 +26,13 @@
     /** Requests per second permitted to a cold upstream in addition to the factor. */
     COLD_SLACK("coldSlack", "places", 0),
     /** Shortest time between orders of two instances to the same upstream, in milliseconds. */
-    ORDER_INTERVAL("leaseMs", "engine", 3000);
+    ORDER_INTERVAL("leaseMs", "engine", 3000),
+    /** Largest share of a service's requests that reach a version before it is judged. */
+    EXPOSURE_SHARE("exposeShare", "rollout", 0),
+    /** Requests that may reach a version before it is judged in addition to the share. */
+    EXPOSURE_SLACK("exposeSlack", "rollout", 0),
+    /** Longest time until nothing more is sent to a version with many bad responses, in milliseconds. */
+    ROLLBACK("rollbackMs", "rollout", 5000);
 
     private final String key;
     private final String contract;
--- a/src/main/java/org/lacewingstep/platform/SiteContracts.java
+++ b/src/main/java/org/lacewingstep/platform/SiteContracts.java
@@ -11,7 +11,8 @@
 import org.lacewingstep.settings.Faults;
 
 /**
- * The contracts that a settings file declares. A file without the list has all of them in force.
+ * The contracts that a settings file declares. A file without the list has all of them in force that
+ * are as old as such files.
  *
  * @param declared the names in the file, empty if the file has no list, not null
  */
@@ -36,6 +37,9 @@
             "rollout",
             "platform");
 
+    /** Contracts that are younger than the list, so a file without it does not mean them. */
+    private static final Set<String> ONLY_DECLARED = Set.of("rollout");
+
     private static final String KEY = "contracts";
 
     /** Copies the names. */
@@ -73,10 +77,10 @@
      * Returns whether a contract is in force.
      *
      * @param contract the name of the contract, not null
-     * @return true if the file declares the contract or has no list
+     * @return true if the file declares the contract, or has no list and is as old as the contract
      */
     public boolean isInForce(final String contract) {
-        return declared.map(names -> names.contains(contract)).orElse(true);
+        return declared.map(names -> names.contains(contract)).orElse(!ONLY_DECLARED.contains(contract));
     }
 
     /**
--- /dev/null
+++ b/src/main/java/org/lacewingstep/rollout/VersionJudgement.java
@@ -0,0 +1,139 @@
+package org.lacewingstep.rollout;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.lacewingstep.rollout.VersionEvidence.Comparison;
+import org.lacewingstep.rollout.VersionEvidence.Count;
+
+/**
+ * Judges a version by a sequential test on each route and on all routes together.
+ *
+ * <p>The test is a cumulative sum of log-likelihood ratios between the share of bad responses of the other versions and
+ * one that is larger by a tenth or twice as large, whichever is more. The sum starts anew at zero, so a version that
+ * turns bad later is found as fast as one that is bad from the start. A good version reaches the limit by chance at
+ * most once in {@code FALSE_ALARM_ANSWERS} responses of each test.
+ *
+ * @param scores the sum of each test, not null
+ * @param verdict the verdict on what is known so far, not null
+ */
+public record VersionJudgement(Map<String, Score> scores, Verdict verdict) {
+    /** The judgement before the first response. */
+    public static final VersionJudgement INITIAL = new VersionJudgement(Map.of(), Verdict.OPEN);
+
+    /** Responses in which one false alarm is accepted. */
+    static final double FALSE_ALARM_ANSWERS = 10_000;
+
+    /** Name of the test over all routes; no route has a blank name. */
+    private static final String ALL_ROUTES = "";
+
+    /** Smallest share of bad responses that is expected of any version, so that few responses do not decide. */
+    private static final double MIN_BAD_SHARE = 0.02;
+
+    /** Largest share of bad responses of the other versions with which a version can still be compared. */
+    private static final double MAX_BAD_SHARE = 0.45;
+
+    /** Difference between the shares of bad responses that has to be found. */
+    private static final double DIFFERENCE = 0.1;
+
+    /** Bad responses after which nothing more is sent to the version. */
+    private static final int MAX_BAD = 50;
+
+    /** Bad responses that more than one part of the version's upstreams has to give. */
+    private static final int MIN_SPREAD_BAD = 2;
+
+    private static final double SPREAD_FACTOR = 1.5;
+
+    /** Responses without which a version is not accepted before the time runs out. */
+    private static final int MIN_ANSWERS = 10;
+
+    /** Part of the alarm limit above which a version is not accepted. */
+    private static final double MAX_ACCEPTED_PART = 0.5;
+
+    /** Copies the map. */
+    public VersionJudgement {
+        scores = Map.copyOf(scores);
+    }
+
+    /** What the responses show. */
+    public enum Verdict {
+        /** Too few responses to tell. */
+        OPEN,
+        /** No sign that the version is worse than the others. */
+        ACCEPTABLE,
+        /** The version is worse than the others. */
+        BAD
+    }
+
+    /**
+     * The cumulative sum of one test and the responses that it includes.
+     *
+     * @param value the sum, from zero
+     * @param seen the responses that the sum includes, not null
+     */
+    public record Score(double value, Count seen) {
+        static final Score NONE = new Score(0, Count.NONE);
+    }
+
+    /**
+     * Continues the judgement with the responses known now.
+     *
+     * @param evidence the responses, not null
+     * @param probing whether the version receives a small share only, so that many bad responses alone decide
+     * @return the next judgement, never null
+     */
+    public VersionJudgement next(final VersionEvidence evidence, final boolean probing) {
+        final Map<String, Comparison> tests = new HashMap<>(evidence.routes());
+        final Comparison total = evidence.total();
+        tests.put(ALL_ROUTES, total);
+        final double limit = Math.log(FALSE_ALARM_ANSWERS * tests.size());
+        final Map<String, Score> next = new HashMap<>();
+        boolean bad = verdict == Verdict.BAD || hasManyBad(total, probing);
+        boolean acceptable = total.version().answers() >= MIN_ANSWERS;
+        for (final Map.Entry<String, Comparison> test : tests.entrySet()) {
+            final Score score = advance(scores.getOrDefault(test.getKey(), Score.NONE), test.getValue(), limit);
+            next.put(test.getKey(), score);
+            bad |= score.value() >= limit && isSpread(test.getValue());
+            acceptable &= score.value() < limit * MAX_ACCEPTED_PART || !isSpread(test.getValue());
+        }
+        final Verdict known = acceptable ? Verdict.ACCEPTABLE : Verdict.OPEN;
+        return new VersionJudgement(next, bad ? Verdict.BAD : known);
+    }
+
+    private static Score advance(final Score score, final Comparison comparison, final double limit) {
+        final Count version = comparison.version();
+        final long bad = Math.max(0, version.bad() - score.seen().bad());
+        final long good = Math.max(0, version.answers() - score.seen().answers() - bad);
+        final double expected = expectedBadShare(comparison);
+        final double suspected = expected + Math.max(DIFFERENCE, expected);
+        final double sum = score.value()
+                + bad * Math.log(suspected / expected)
+                + good * Math.log((1 - suspected) / (1 - expected));
+        final Count seen = new Count(
+                Math.max(version.answers(), score.seen().answers()),
+                Math.max(version.bad(), score.seen().bad()));
+        return new Score(Math.max(0, Math.min(2 * limit, sum)), seen);
+    }
+
+    private static double expectedBadShare(final Comparison comparison) {
+        final Count others = comparison.others();
+        final double share = others.answers() == 0 ? 0 : others.bad() / (double) others.answers();
+        return Math.max(MIN_BAD_SHARE, Math.min(MAX_BAD_SHARE, share));
+    }
+
+    /** Returns whether the bad responses come from more than one part of the upstreams, if there are more. */
+    private static boolean isSpread(final Comparison comparison) {
+        if (comparison.parts().size() < 2) {
+            return true;
+        }
+        final Count rest = comparison.withoutWorstPart();
+        return rest.bad() >= MIN_SPREAD_BAD
+                && rest.bad() >= SPREAD_FACTOR * expectedBadShare(comparison) * rest.answers();
+    }
+
+    private static boolean hasManyBad(final Comparison total, final boolean probing) {
+        final Count version = total.version();
+        return version.bad() >= MAX_BAD
+                && (probing || version.bad() >= 2 * expectedBadShare(total) * version.answers());
+    }
+}
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -154,11 +154,23 @@
   4: optional i64 servedAgeMilliseconds
 }
 
+struct WireAnswerCounts {
+  1: string serviceName
+  2: i64 order
+  3: string version
+  4: string route
+  5: i32 part
+  6: i64 sent
+  7: i64 failed
+  8: map<i32, i64> served
+}
+
 struct WireSiteLoad {
   1: list<WireUpstreamUse> uses
   2: map<string, double> spent
   3: optional list<WirePromptEvidence> prompts
   4: optional list<WireUpstreamStart> leaving
+  22: optional list<WireAnswerCounts> answers
 }
 
 struct WireStoreQuery {
@@ -177,6 +189,7 @@
   8: i32 slots
   9: bool draining
   10: i64 coldMilliseconds
+  11: optional string version
 }
 
 struct WireRoleChange {
@@ -191,6 +204,26 @@
   3: i64 revision
 }
 
+struct WireRolloutOrder {
+  1: string serviceName
+  2: string target
+  3: i64 limitMilliseconds
+  4: i64 revision
+}
+
+struct WireRolloutPlan {
+  1: string serviceName
+  2: string target
+  3: i64 order
+  4: i32 stage
+  5: i64 startedAtMilliseconds
+  6: i64 requests
+  7: i64 exposed
+  8: i64 bad
+  9: string author
+  10: i64 revision
+}
+
 union WireStoreChange {
   1: WireRegisteredUpstream upstreamRegistered
   2: string upstreamUnregistered
@@ -199,6 +232,9 @@
   5: string domainOutOfService
   6: string domainInService
   7: WireRolePlan rolePlan
+  8: WireRolloutOrder rolloutOrder
+  9: string rolloutWithdrawn
+  10: WireRolloutPlan rolloutPlan
 }
 
 struct WireStoreUpdate {
--- a/src/test/java/org/lacewingstep/command/PlatformTestSite.java
+++ b/src/test/java/org/lacewingstep/command/PlatformTestSite.java
@@ -50,7 +50,8 @@
             "listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},
             "platform":{"address":"127.0.0.1:%d"},
             "bounds":{"revokeMs":60000,"graceS":8,"retryBudgetRatio":0.2,"budgetWindowS":10,"retrySlack":5200,
-            "quotaWindowS":8,"quotaOver":0.1,"quotaSlack":14000000,"coldOver":1.5,"coldSlack":500,"leaseMs":3000}}""";
+            "quotaWindowS":8,"quotaOver":0.1,"quotaSlack":14000000,"coldOver":1.5,"coldSlack":500,"leaseMs":3000,
+            "exposeShare":0.1,"exposeSlack":50,"rollbackMs":5000}}""";
     private static final String TABLE =
             """
             {"version":1,"routes":[
--- a/src/test/java/org/lacewingstep/command/SiteContractsTest.java
+++ b/src/test/java/org/lacewingstep/command/SiteContractsTest.java
@@ -22,7 +22,8 @@
             "retry", List.of("retryBudgetRatio", "budgetWindowS", "retrySlack"),
             "quota", List.of("quotaWindowS", "quotaOver", "quotaSlack"),
             "places", List.of("coldOver", "coldSlack"),
-            "engine", List.of("leaseMs"));
+            "engine", List.of("leaseMs"),
+            "rollout", List.of("exposeShare", "exposeSlack", "rollbackMs"));
 
     private final ObjectMapper mapper = new ObjectMapper();
 
@@ -30,7 +31,7 @@
     private Path folder;
 
     @ParameterizedTest
-    @ValueSource(strings = {"tenants", "drain", "retry", "quota", "places", "engine"})
+    @ValueSource(strings = {"tenants", "drain", "retry", "quota", "places", "engine", "rollout"})
     void instanceStartsAndServesWithoutContract(final String contract) throws Exception {
         try (PlatformTestSite site = new PlatformTestSite(folder, text -> without(contract, text))) {
             assertThat(site.send(PlatformTestSite.ONCE).statusCode()).isEqualTo(200);
--- a/src/test/java/org/lacewingstep/controller/ArchitectureTest.java
+++ b/src/test/java/org/lacewingstep/controller/ArchitectureTest.java
@@ -16,7 +16,10 @@
 /** Tests the architecture: each section has one controller as its writer, and decisions do no I/O and read no clock. */
 class ArchitectureTest {
     private static final String[] DECISION_PACKAGES = {
-        "org.lacewingstep.blackboard..", "org.lacewingstep.controller..", "org.lacewingstep.domain.."
+        "org.lacewingstep.blackboard..",
+        "org.lacewingstep.controller..",
+        "org.lacewingstep.domain..",
+        "org.lacewingstep.rollout.."
     };
 
     private final JavaClasses productionClasses = new ClassFileImporter()
--- a/src/test/java/org/lacewingstep/platform/PlatformSettingsTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformSettingsTest.java
@@ -31,12 +31,14 @@
             "listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},
             "platform":{"address":"127.0.0.1:%d"},
             "bounds":{"revokeMs":5000,"graceS":8,"retryBudgetRatio":0.2,"budgetWindowS":10,"retrySlack":52,
-            "quotaWindowS":8,"quotaOver":0.1,"quotaSlack":140000,"coldOver":1.5,"coldSlack":5,"leaseMs":3000}}""";
+            "quotaWindowS":8,"quotaOver":0.1,"quotaSlack":140000,"coldOver":1.5,"coldSlack":5,"leaseMs":3000,
+            "exposeShare":0.1,"exposeSlack":50,"rollbackMs":5000}}""";
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     /** The contracts that have bounds. */
-    private static final List<String> BOUNDED = List.of("drain", "engine", "places", "quota", "retry", "tenants");
+    private static final List<String> BOUNDED =
+            List.of("drain", "engine", "places", "quota", "retry", "rollout", "tenants");
 
     @Test
     void parsesTheFile() {
@@ -80,6 +82,7 @@
         assertThat(settings.policy().coldSlack()).isEqualTo(out.contains("places") ? 0 : full.coldSlack());
         assertThat(settings.policy().retryRatio()).isEqualTo(out.contains("retry") ? 0.1 : full.retryRatio());
         assertThat(settings.policy().rateSlack()).isEqualTo(out.contains("quota") ? 0 : full.rateSlack());
+        assertThat(settings.policy().rollout().permitRollouts()).isEqualTo(!out.contains("rollout"));
         assertThat(settings.policy().withdrawalLimit()).hasSeconds(5);
     }
 
