--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -222,11 +222,7 @@
      */
     record SiteConfigured(SitePolicy policy, boolean firstStart) implements Event {}
 
-    /**
-     * The settings were reloaded.
-     *
-     * @param policy the policy of the site, not null
-     */
+    /** The settings were reloaded, with the policy of the site. */
     record SiteReloaded(SitePolicy policy) implements Event {}
 
     /**
@@ -390,4 +386,7 @@
      * @param change the change, not null
      */
     record AllowanceChanged(AllowanceChange change) implements Event {}
+
+    /** Something happened that concerns the rollouts of versions. */
+    record RolloutAdvanced(RolloutOccurrence occurrence) implements Event {}
 }
--- a/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
+++ b/src/main/java/org/lacewingstep/blackboard/PeerMessage.java
@@ -6,6 +6,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.lacewingstep.domain.AnswerCounts;
+import org.lacewingstep.domain.AnswerGroup;
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.CellName;
 import org.lacewingstep.domain.Configuration;
@@ -232,6 +234,7 @@
      * @param leaving the starts of upstreams that have announced that they leave, not null
      * @param queued the demand at the sender for services whose calls differ in urgency, not null
      * @param speeds the durations of work that the sender has measured lately, not null
+     * @param answers what the sender has counted since the orders of the rollouts that it knows, not null
      */
     record SiteLoad(
             Map<UpstreamName, UpstreamUse> uses,
@@ -239,7 +242,8 @@
             Map<PromptPart, PromptEvidence> prompts,
             Set<UpstreamStart> leaving,
             Map<ServiceUrgency, Demand> queued,
-            Map<SpeedKey, SpeedSum> speeds)
+            Map<SpeedKey, SpeedSum> speeds,
+            Map<AnswerGroup, AnswerCounts> answers)
             implements PeerMessage {
         /** Copies the collections. */
         public SiteLoad {
@@ -249,14 +253,15 @@
             leaving = Set.copyOf(leaving);
             queued = Map.copyOf(queued);
             speeds = Map.copyOf(speeds);
+            answers = Map.copyOf(answers);
         }
 
         /**
-         * Creates a report without demand and measured speeds.
+         * Creates a report without demand, measured speeds and counts of rollouts.
          *
          * @param uses the sender's running requests at each upstream, not null
-         * @param spent units that each team has spent at the sender since the sender started, not null
-         * @param prompts the evidence on parts of prompts, not null
+         * @param spent units that each team with recent spending has spent at the sender, not null
+         * @param prompts the evidence on parts of prompts that are suspected of crashing upstreams, not null
          * @param leaving the starts of upstreams that have announced that they leave, not null
          */
         public SiteLoad(
@@ -264,7 +269,7 @@
                 final Map<TeamName, Double> spent,
                 final Map<PromptPart, PromptEvidence> prompts,
                 final Set<UpstreamStart> leaving) {
-            this(uses, spent, prompts, leaving, Map.of(), Map.of());
+            this(uses, spent, prompts, leaving, Map.of(), Map.of(), Map.of());
         }
     }
 }
--- a/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
@@ -18,7 +18,7 @@
  * @param roles the planned roles of engines and how full the engines are, not null
  * @param relay what this instance passes on between the store and other instances, not null
  * @param prompts the parts of prompts that are suspected of crashing upstreams, not null
- * @param notices what upstreams have announced in their responses, not null
+ * @param rollouts the rollouts that are ordered or have ended, not null
  * @param learned what this instance has learned about upstreams, not null
  */
 public record ServingBoard(
@@ -31,7 +31,7 @@
         RoleSection roles,
         RelaySection relay,
         PromptSection prompts,
-        UpstreamNoticeSection notices,
+        RolloutSection rollouts,
         LearnedBoard learned) {
     /** The initial sections of a process. */
     public static final ServingBoard INITIAL = new ServingBoard(
@@ -44,7 +44,7 @@
             RoleSection.INITIAL,
             RelaySection.INITIAL,
             PromptSection.INITIAL,
-            UpstreamNoticeSection.INITIAL,
+            RolloutSection.INITIAL,
             LearnedBoard.INITIAL);
 
     /** Checks that every section is present. */
@@ -58,7 +58,7 @@
         Validate.notNull(roles, "roles");
         Validate.notNull(relay, "relay");
         Validate.notNull(prompts, "prompts");
-        Validate.notNull(notices, "notices");
+        Validate.notNull(rollouts, "rollouts");
         Validate.notNull(learned, "learned");
     }
 
@@ -72,31 +72,31 @@
         return switch (section) {
             case SiteSection next ->
                 new ServingBoard(
-                        next, routing, registry, allowances, loads, calls, roles, relay, prompts, notices, learned);
+                        next, routing, registry, allowances, loads, calls, roles, relay, prompts, rollouts, learned);
             case RoutingSection next ->
                 new ServingBoard(
-                        site, next, registry, allowances, loads, calls, roles, relay, prompts, notices, learned);
+                        site, next, registry, allowances, loads, calls, roles, relay, prompts, rollouts, learned);
             case RegistrySection next ->
                 new ServingBoard(
-                        site, routing, next, allowances, loads, calls, roles, relay, prompts, notices, learned);
+                        site, routing, next, allowances, loads, calls, roles, relay, prompts, rollouts, learned);
             case AllowanceSection next ->
-                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts, notices, learned);
+                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts, rollouts, learned);
             case UpstreamLoadSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, next, calls, roles, relay, prompts, notices, learned);
+                        site, routing, registry, allowances, next, calls, roles, relay, prompts, rollouts, learned);
             case CallSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, next, roles, relay, prompts, notices, learned);
+                        site, routing, registry, allowances, loads, next, roles, relay, prompts, rollouts, learned);
             case RoleSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, calls, next, relay, prompts, notices, learned);
+                        site, routing, registry, allowances, loads, calls, next, relay, prompts, rollouts, learned);
             case RelaySection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, calls, roles, next, prompts, notices, learned);
+                        site, routing, registry, allowances, loads, calls, roles, next, prompts, rollouts, learned);
             case PromptSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, calls, roles, relay, next, notices, learned);
-            case UpstreamNoticeSection next ->
+                        site, routing, registry, allowances, loads, calls, roles, relay, next, rollouts, learned);
+            case RolloutSection next ->
                 new ServingBoard(
                         site, routing, registry, allowances, loads, calls, roles, relay, prompts, next, learned);
             case LearnedSection next ->
@@ -110,11 +110,20 @@
                         roles,
                         relay,
                         prompts,
-                        notices,
+                        rollouts,
                         learned.with(next));
         };
     }
 
+    /**
+     * Returns what upstreams have announced in their responses.
+     *
+     * @return the section, never null
+     */
+    public UpstreamNoticeSection notices() {
+        return learned.notices();
+    }
+
     /**
      * Computes the use of an upstream by this instance and by all instances that are not cut off.
      *
--- a/src/main/java/org/lacewingstep/blackboard/ServingSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingSection.java
@@ -9,7 +9,7 @@
                 RegistrySection,
                 RelaySection,
                 RoleSection,
+                RolloutSection,
                 RoutingSection,
                 SiteSection,
-                UpstreamLoadSection,
-                UpstreamNoticeSection {}
+                UpstreamLoadSection {}
--- a/src/main/java/org/lacewingstep/controller/Controller.java
+++ b/src/main/java/org/lacewingstep/controller/Controller.java
@@ -25,6 +25,7 @@
                 RequestController,
                 RelayController,
                 RoleController,
+                RolloutController,
                 RoutingController,
                 SiteController,
                 SpeedController,
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -132,7 +132,8 @@
                 PromptReports.create(board.serving().prompts(), now),
                 UpstreamAvailability.reportedLeaving(board, now),
                 DemandReports.own(board, now),
-                UpstreamSpeeds.reported(board, now));
+                UpstreamSpeeds.reported(board, now),
+                RolloutCounting.reported(board));
         reportReceivers(board, now).forEach(member -> builder.add(new Effect.SendToPeer(member, message)));
         final Instant due = now.plus(SiteSection.BROADCAST_INTERVAL);
         builder.add(new Effect.StartTimer(new TimerKey.LoadBroadcast(), due));
--- a/src/main/java/org/lacewingstep/peer/RecordCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RecordCodec.java
@@ -13,6 +13,8 @@
 
 import org.lacewingstep.blackboard.PeerMessage;
 import org.lacewingstep.blackboard.PromptEvidence;
+import org.lacewingstep.domain.AnswerCounts;
+import org.lacewingstep.domain.AnswerGroup;
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.CellName;
 import org.lacewingstep.domain.Demand;
@@ -34,9 +36,11 @@
 import org.lacewingstep.domain.UpstreamStart;
 import org.lacewingstep.domain.UpstreamUse;
 import org.lacewingstep.domain.Urgency;
+import org.lacewingstep.domain.VersionName;
 import org.lacewingstep.domain.WorkKind;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
+import org.lacewingstep.peer.wire.WireAnswerCounts;
 import org.lacewingstep.peer.wire.WireAttempt;
 import org.lacewingstep.peer.wire.WireDemand;
 import org.lacewingstep.peer.wire.WireMember;
@@ -166,6 +170,11 @@
                     .map(entry -> encodeSpeed(entry.getKey(), entry.getValue()))
                     .toList());
         }
+        if (!load.answers().isEmpty()) {
+            wire.setAnswers(load.answers().entrySet().stream()
+                    .map(entry -> encodeAnswers(entry.getKey(), entry.getValue()))
+                    .toList());
+        }
         return wire;
     }
 
@@ -189,6 +198,34 @@
                 sum.logSum());
     }
 
+    private static WireAnswerCounts encodeAnswers(final AnswerGroup group, final AnswerCounts counts) {
+        return new WireAnswerCounts(
+                group.service().value(),
+                group.order(),
+                group.version().value(),
+                group.route(),
+                group.part(),
+                counts.sent(),
+                counts.failed(),
+                counts.served());
+    }
+
+    private static Map<AnswerGroup, AnswerCounts> decodeAnswers(final WireSiteLoad wire) {
+        final Map<AnswerGroup, AnswerCounts> answers = new HashMap<>();
+        if (wire.isSetAnswers()) {
+            wire.getAnswers()
+                    .forEach(counted -> answers.put(
+                            new AnswerGroup(
+                                    new ServiceName(counted.getServiceName()),
+                                    counted.getOrder(),
+                                    new VersionName(counted.getVersion()),
+                                    counted.getRoute(),
+                                    counted.getPart()),
+                            new AnswerCounts(counted.getSent(), counted.getFailed(), counted.getServed())));
+        }
+        return answers;
+    }
+
     static PeerMessage.SiteLoad decodeSiteLoad(final WireSiteLoad wire) {
         final Map<UpstreamName, UpstreamUse> uses = new HashMap<>();
         wire.getUses()
@@ -223,7 +260,7 @@
         if (wire.isSetSpeeds()) {
             wire.getSpeeds().stream().filter(RecordCodec::isKnownKind).forEach(speed -> decodeSpeed(speed, speeds));
         }
-        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving, queued, speeds);
+        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving, queued, speeds, decodeAnswers(wire));
     }
 
     private static boolean isKnownKind(final WireSpeed speed) {
--- a/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField QUEUED_FIELD_DESC = new org.apache.thrift.protocol.TField("queued", org.apache.thrift.protocol.TType.LIST, (short)20);
   private static final org.apache.thrift.protocol.TField SPEEDS_FIELD_DESC = new org.apache.thrift.protocol.TField("speeds", org.apache.thrift.protocol.TType.LIST, (short)21);
+  private static final org.apache.thrift.protocol.TField ANSWERS_FIELD_DESC = new org.apache.thrift.protocol.TField("answers", org.apache.thrift.protocol.TType.LIST, (short)22);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireSiteLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireSiteLoadTupleSchemeFactory();
@@ -26,6 +27,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.List<WireUpstreamStart> leaving; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<WireDemand> queued; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<WireSpeed> speeds; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<WireAnswerCounts> answers; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,8 @@
     PROMPTS((short)3, "prompts"),
     LEAVING((short)4, "leaving"),
     QUEUED((short)20, "queued"),
-    SPEEDS((short)21, "speeds");
+    SPEEDS((short)21, "speeds"),
+    ANSWERS((short)22, "answers");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -62,6 +65,8 @@
           return QUEUED;
         case 21: // SPEEDS
           return SPEEDS;
+        case 22: // ANSWERS
+          return ANSWERS;
         default:
           return null;
       }
@@ -105,7 +110,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING,_Fields.QUEUED,_Fields.SPEEDS};
+  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING,_Fields.QUEUED,_Fields.SPEEDS,_Fields.ANSWERS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -128,6 +133,9 @@
     tmpMap.put(_Fields.SPEEDS, new org.apache.thrift.meta_data.FieldMetaData("speeds", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireSpeed.class))));
+    tmpMap.put(_Fields.ANSWERS, new org.apache.thrift.meta_data.FieldMetaData("answers", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireAnswerCounts.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireSiteLoad.class, metaDataMap);
   }
@@ -187,6 +195,13 @@
       }
       this.speeds = __this__speeds;
     }
+    if (other.isSetAnswers()) {
+      java.util.List<WireAnswerCounts> __this__answers = new java.util.ArrayList<WireAnswerCounts>(other.answers.size());
+      for (WireAnswerCounts other_element : other.answers) {
+        __this__answers.add(new WireAnswerCounts(other_element));
+      }
+      this.answers = __this__answers;
+    }
   }
 
   @Override
@@ -202,6 +217,7 @@
     this.leaving = null;
     this.queued = null;
     this.speeds = null;
+    this.answers = null;
   }
 
   public int getUsesSize() {
@@ -445,6 +461,47 @@
     }
   }
 
+  public int getAnswersSize() {
+    return (this.answers == null) ? 0 : this.answers.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WireAnswerCounts> getAnswersIterator() {
+    return (this.answers == null) ? null : this.answers.iterator();
+  }
+
+  public void addToAnswers(WireAnswerCounts elem) {
+    if (this.answers == null) {
+      this.answers = new java.util.ArrayList<WireAnswerCounts>();
+    }
+    this.answers.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WireAnswerCounts> getAnswers() {
+    return this.answers;
+  }
+
+  public WireSiteLoad setAnswers(@org.apache.thrift.annotation.Nullable java.util.List<WireAnswerCounts> answers) {
+    this.answers = answers;
+    return this;
+  }
+
+  public void unsetAnswers() {
+    this.answers = null;
+  }
+
+  /** Returns true if field answers is set (has been assigned a value) and false otherwise */
+  public boolean isSetAnswers() {
+    return this.answers != null;
+  }
+
+  public void setAnswersIsSet(boolean value) {
+    if (!value) {
+      this.answers = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -496,6 +553,14 @@
       }
       break;
 
+    case ANSWERS:
+      if (value == null) {
+        unsetAnswers();
+      } else {
+        setAnswers((java.util.List<WireAnswerCounts>)value);
+      }
+      break;
+
     }
   }
 
@@ -521,6 +586,9 @@
     case SPEEDS:
       return getSpeeds();
 
+    case ANSWERS:
+      return getAnswers();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -545,6 +613,8 @@
       return isSetQueued();
     case SPEEDS:
       return isSetSpeeds();
+    case ANSWERS:
+      return isSetAnswers();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -616,6 +686,15 @@
         return false;
     }
 
+    boolean this_present_answers = true && this.isSetAnswers();
+    boolean that_present_answers = true && that.isSetAnswers();
+    if (this_present_answers || that_present_answers) {
+      if (!(this_present_answers && that_present_answers))
+        return false;
+      if (!this.answers.equals(that.answers))
+        return false;
+    }
+
     return true;
   }
 
@@ -647,6 +726,10 @@
     if (isSetSpeeds())
       hashCode = hashCode * 8191 + speeds.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetAnswers()) ? 131071 : 524287);
+    if (isSetAnswers())
+      hashCode = hashCode * 8191 + answers.hashCode();
+
     return hashCode;
   }
 
@@ -718,6 +801,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAnswers(), other.isSetAnswers());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAnswers()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.answers, other.answers);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -797,6 +890,16 @@
       }
       first = false;
     }
+    if (isSetAnswers()) {
+      if (!first) sb.append(", ");
+      sb.append("answers:");
+      if (this.answers == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.answers);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -845,14 +948,14 @@
           case 1: // USES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
-                struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list72.size);
-                @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem73;
-                for (int _i74 = 0; _i74 < _list72.size; ++_i74)
+                org.apache.thrift.protocol.TList _list82 = iprot.readListBegin();
+                struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list82.size);
+                @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem83;
+                for (int _i84 = 0; _i84 < _list82.size; ++_i84)
                 {
-                  _elem73 = new WireUpstreamUse();
-                  _elem73.read(iprot);
-                  struct.uses.add(_elem73);
+                  _elem83 = new WireUpstreamUse();
+                  _elem83.read(iprot);
+                  struct.uses.add(_elem83);
                 }
                 iprot.readListEnd();
               }
@@ -864,15 +967,15 @@
           case 2: // SPENT
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map75 = iprot.readMapBegin();
-                struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map75.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key76;
-                double _val77;
-                for (int _i78 = 0; _i78 < _map75.size; ++_i78)
+                org.apache.thrift.protocol.TMap _map85 = iprot.readMapBegin();
+                struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map85.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key86;
+                double _val87;
+                for (int _i88 = 0; _i88 < _map85.size; ++_i88)
                 {
-                  _key76 = iprot.readString();
-                  _val77 = iprot.readDouble();
-                  struct.spent.put(_key76, _val77);
+                  _key86 = iprot.readString();
+                  _val87 = iprot.readDouble();
+                  struct.spent.put(_key86, _val87);
                 }
                 iprot.readMapEnd();
               }
@@ -884,14 +987,14 @@
           case 3: // PROMPTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list79 = iprot.readListBegin();
-                struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list79.size);
-                @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem80;
-                for (int _i81 = 0; _i81 < _list79.size; ++_i81)
+                org.apache.thrift.protocol.TList _list89 = iprot.readListBegin();
+                struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list89.size);
+                @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem90;
+                for (int _i91 = 0; _i91 < _list89.size; ++_i91)
                 {
-                  _elem80 = new WirePromptEvidence();
-                  _elem80.read(iprot);
-                  struct.prompts.add(_elem80);
+                  _elem90 = new WirePromptEvidence();
+                  _elem90.read(iprot);
+                  struct.prompts.add(_elem90);
                 }
                 iprot.readListEnd();
               }
@@ -903,14 +1006,14 @@
           case 4: // LEAVING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list82 = iprot.readListBegin();
-                struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list82.size);
-                @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem83;
-                for (int _i84 = 0; _i84 < _list82.size; ++_i84)
+                org.apache.thrift.protocol.TList _list92 = iprot.readListBegin();
+                struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list92.size);
+                @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem93;
+                for (int _i94 = 0; _i94 < _list92.size; ++_i94)
                 {
-                  _elem83 = new WireUpstreamStart();
-                  _elem83.read(iprot);
-                  struct.leaving.add(_elem83);
+                  _elem93 = new WireUpstreamStart();
+                  _elem93.read(iprot);
+                  struct.leaving.add(_elem93);
                 }
                 iprot.readListEnd();
               }
@@ -922,14 +1025,14 @@
           case 20: // QUEUED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list85 = iprot.readListBegin();
-                struct.queued = new java.util.ArrayList<WireDemand>(_list85.size);
-                @org.apache.thrift.annotation.Nullable WireDemand _elem86;
-                for (int _i87 = 0; _i87 < _list85.size; ++_i87)
+                org.apache.thrift.protocol.TList _list95 = iprot.readListBegin();
+                struct.queued = new java.util.ArrayList<WireDemand>(_list95.size);
+                @org.apache.thrift.annotation.Nullable WireDemand _elem96;
+                for (int _i97 = 0; _i97 < _list95.size; ++_i97)
                 {
-                  _elem86 = new WireDemand();
-                  _elem86.read(iprot);
-                  struct.queued.add(_elem86);
+                  _elem96 = new WireDemand();
+                  _elem96.read(iprot);
+                  struct.queued.add(_elem96);
                 }
                 iprot.readListEnd();
               }
@@ -941,14 +1044,14 @@
           case 21: // SPEEDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list88 = iprot.readListBegin();
-                struct.speeds = new java.util.ArrayList<WireSpeed>(_list88.size);
-                @org.apache.thrift.annotation.Nullable WireSpeed _elem89;
-                for (int _i90 = 0; _i90 < _list88.size; ++_i90)
+                org.apache.thrift.protocol.TList _list98 = iprot.readListBegin();
+                struct.speeds = new java.util.ArrayList<WireSpeed>(_list98.size);
+                @org.apache.thrift.annotation.Nullable WireSpeed _elem99;
+                for (int _i100 = 0; _i100 < _list98.size; ++_i100)
                 {
-                  _elem89 = new WireSpeed();
-                  _elem89.read(iprot);
-                  struct.speeds.add(_elem89);
+                  _elem99 = new WireSpeed();
+                  _elem99.read(iprot);
+                  struct.speeds.add(_elem99);
                 }
                 iprot.readListEnd();
               }
@@ -957,6 +1060,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 22: // ANSWERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list101 = iprot.readListBegin();
+                struct.answers = new java.util.ArrayList<WireAnswerCounts>(_list101.size);
+                @org.apache.thrift.annotation.Nullable WireAnswerCounts _elem102;
+                for (int _i103 = 0; _i103 < _list101.size; ++_i103)
+                {
+                  _elem102 = new WireAnswerCounts();
+                  _elem102.read(iprot);
+                  struct.answers.add(_elem102);
+                }
+                iprot.readListEnd();
+              }
+              struct.setAnswersIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -977,9 +1099,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (WireUpstreamUse _iter91 : struct.uses)
+          for (WireUpstreamUse _iter104 : struct.uses)
           {
-            _iter91.write(oprot);
+            _iter104.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -989,10 +1111,10 @@
         oprot.writeFieldBegin(SPENT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE, struct.spent.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter92 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter105 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter92.getKey());
-            oprot.writeDouble(_iter92.getValue());
+            oprot.writeString(_iter105.getKey());
+            oprot.writeDouble(_iter105.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -1003,9 +1125,9 @@
           oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-            for (WirePromptEvidence _iter93 : struct.prompts)
+            for (WirePromptEvidence _iter106 : struct.prompts)
             {
-              _iter93.write(oprot);
+              _iter106.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1017,9 +1139,9 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (WireUpstreamStart _iter94 : struct.leaving)
+            for (WireUpstreamStart _iter107 : struct.leaving)
             {
-              _iter94.write(oprot);
+              _iter107.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1031,9 +1153,9 @@
           oprot.writeFieldBegin(QUEUED_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.queued.size()));
-            for (WireDemand _iter95 : struct.queued)
+            for (WireDemand _iter108 : struct.queued)
             {
-              _iter95.write(oprot);
+              _iter108.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1045,9 +1167,23 @@
           oprot.writeFieldBegin(SPEEDS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.speeds.size()));
-            for (WireSpeed _iter96 : struct.speeds)
+            for (WireSpeed _iter109 : struct.speeds)
             {
-              _iter96.write(oprot);
+              _iter109.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.answers != null) {
+        if (struct.isSetAnswers()) {
+          oprot.writeFieldBegin(ANSWERS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.answers.size()));
+            for (WireAnswerCounts _iter110 : struct.answers)
+            {
+              _iter110.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1091,59 +1227,71 @@
       if (struct.isSetSpeeds()) {
         optionals.set(5);
       }
-      oprot.writeBitSet(optionals, 6);
+      if (struct.isSetAnswers()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetUses()) {
         {
           oprot.writeI32(struct.uses.size());
-          for (WireUpstreamUse _iter97 : struct.uses)
+          for (WireUpstreamUse _iter111 : struct.uses)
           {
-            _iter97.write(oprot);
+            _iter111.write(oprot);
           }
         }
       }
       if (struct.isSetSpent()) {
         {
           oprot.writeI32(struct.spent.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter98 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter112 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter98.getKey());
-            oprot.writeDouble(_iter98.getValue());
+            oprot.writeString(_iter112.getKey());
+            oprot.writeDouble(_iter112.getValue());
           }
         }
       }
       if (struct.isSetPrompts()) {
         {
           oprot.writeI32(struct.prompts.size());
-          for (WirePromptEvidence _iter99 : struct.prompts)
+          for (WirePromptEvidence _iter113 : struct.prompts)
           {
-            _iter99.write(oprot);
+            _iter113.write(oprot);
           }
         }
       }
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (WireUpstreamStart _iter100 : struct.leaving)
+          for (WireUpstreamStart _iter114 : struct.leaving)
           {
-            _iter100.write(oprot);
+            _iter114.write(oprot);
           }
         }
       }
       if (struct.isSetQueued()) {
         {
           oprot.writeI32(struct.queued.size());
-          for (WireDemand _iter101 : struct.queued)
+          for (WireDemand _iter115 : struct.queued)
           {
-            _iter101.write(oprot);
+            _iter115.write(oprot);
           }
         }
       }
       if (struct.isSetSpeeds()) {
         {
           oprot.writeI32(struct.speeds.size());
-          for (WireSpeed _iter102 : struct.speeds)
+          for (WireSpeed _iter116 : struct.speeds)
           {
-            _iter102.write(oprot);
+            _iter116.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetAnswers()) {
+        {
+          oprot.writeI32(struct.answers.size());
+          for (WireAnswerCounts _iter117 : struct.answers)
+          {
+            _iter117.write(oprot);
           }
         }
       }
@@ -1152,92 +1300,106 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireSiteLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(6);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list103 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list103.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem104;
-          for (int _i105 = 0; _i105 < _list103.size; ++_i105)
+          org.apache.thrift.protocol.TList _list118 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list118.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem119;
+          for (int _i120 = 0; _i120 < _list118.size; ++_i120)
           {
-            _elem104 = new WireUpstreamUse();
-            _elem104.read(iprot);
-            struct.uses.add(_elem104);
+            _elem119 = new WireUpstreamUse();
+            _elem119.read(iprot);
+            struct.uses.add(_elem119);
           }
         }
         struct.setUsesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map106 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
-          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map106.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key107;
-          double _val108;
-          for (int _i109 = 0; _i109 < _map106.size; ++_i109)
+          org.apache.thrift.protocol.TMap _map121 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
+          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map121.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key122;
+          double _val123;
+          for (int _i124 = 0; _i124 < _map121.size; ++_i124)
           {
-            _key107 = iprot.readString();
-            _val108 = iprot.readDouble();
-            struct.spent.put(_key107, _val108);
+            _key122 = iprot.readString();
+            _val123 = iprot.readDouble();
+            struct.spent.put(_key122, _val123);
           }
         }
         struct.setSpentIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list110 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list110.size);
-          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem111;
-          for (int _i112 = 0; _i112 < _list110.size; ++_i112)
+          org.apache.thrift.protocol.TList _list125 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list125.size);
+          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem126;
+          for (int _i127 = 0; _i127 < _list125.size; ++_i127)
           {
-            _elem111 = new WirePromptEvidence();
-            _elem111.read(iprot);
-            struct.prompts.add(_elem111);
+            _elem126 = new WirePromptEvidence();
+            _elem126.read(iprot);
+            struct.prompts.add(_elem126);
           }
         }
         struct.setPromptsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list113 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list113.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem114;
-          for (int _i115 = 0; _i115 < _list113.size; ++_i115)
+          org.apache.thrift.protocol.TList _list128 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list128.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem129;
+          for (int _i130 = 0; _i130 < _list128.size; ++_i130)
           {
-            _elem114 = new WireUpstreamStart();
-            _elem114.read(iprot);
-            struct.leaving.add(_elem114);
+            _elem129 = new WireUpstreamStart();
+            _elem129.read(iprot);
+            struct.leaving.add(_elem129);
           }
         }
         struct.setLeavingIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list116 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.queued = new java.util.ArrayList<WireDemand>(_list116.size);
-          @org.apache.thrift.annotation.Nullable WireDemand _elem117;
-          for (int _i118 = 0; _i118 < _list116.size; ++_i118)
+          org.apache.thrift.protocol.TList _list131 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.queued = new java.util.ArrayList<WireDemand>(_list131.size);
+          @org.apache.thrift.annotation.Nullable WireDemand _elem132;
+          for (int _i133 = 0; _i133 < _list131.size; ++_i133)
           {
-            _elem117 = new WireDemand();
-            _elem117.read(iprot);
-            struct.queued.add(_elem117);
+            _elem132 = new WireDemand();
+            _elem132.read(iprot);
+            struct.queued.add(_elem132);
           }
         }
         struct.setQueuedIsSet(true);
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.speeds = new java.util.ArrayList<WireSpeed>(_list119.size);
-          @org.apache.thrift.annotation.Nullable WireSpeed _elem120;
-          for (int _i121 = 0; _i121 < _list119.size; ++_i121)
+          org.apache.thrift.protocol.TList _list134 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.speeds = new java.util.ArrayList<WireSpeed>(_list134.size);
+          @org.apache.thrift.annotation.Nullable WireSpeed _elem135;
+          for (int _i136 = 0; _i136 < _list134.size; ++_i136)
           {
-            _elem120 = new WireSpeed();
-            _elem120.read(iprot);
-            struct.speeds.add(_elem120);
+            _elem135 = new WireSpeed();
+            _elem135.read(iprot);
+            struct.speeds.add(_elem135);
           }
         }
         struct.setSpeedsIsSet(true);
       }
+      if (incoming.get(6)) {
+        {
+          org.apache.thrift.protocol.TList _list137 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.answers = new java.util.ArrayList<WireAnswerCounts>(_list137.size);
+          @org.apache.thrift.annotation.Nullable WireAnswerCounts _elem138;
+          for (int _i139 = 0; _i139 < _list137.size; ++_i139)
+          {
+            _elem138 = new WireAnswerCounts();
+            _elem138.read(iprot);
+            struct.answers.add(_elem138);
+          }
+        }
+        struct.setAnswersIsSet(true);
+      }
     }
   }
 
--- a/src/test/java/org/lacewingstep/controller/SpeedControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/SpeedControllerTest.java
@@ -179,7 +179,7 @@
     private static void report(final SiteFixture site, final Map<SpeedKey, SpeedSum> speeds) {
         site.step(new Event.PeerLoadReported(
                 OTHER.incarnation(),
-                new PeerMessage.SiteLoad(Map.of(), Map.of(), Map.of(), Set.of(), Map.of(), speeds)));
+                new PeerMessage.SiteLoad(Map.of(), Map.of(), Map.of(), Set.of(), Map.of(), speeds, Map.of())));
     }
 
     private static void measure(
