--- a/src/main/java/org/lacewingstep/controller/PlainRoom.java
+++ b/src/main/java/org/lacewingstep/controller/PlainRoom.java
@@ -37,7 +37,7 @@
         if (!coversForecast(board, call, upstream, secondsPerCall, now)) {
             return false;
         }
-        return !CallPlacement.canMeetLatencyTarget(call, now)
+        return !CallTiming.canMeetLatencyTarget(call, now)
                 || !hasJustRefused(UpstreamCost.load(board, upstream), now)
                         && isWithinLimit(board, call, upstream, secondsPerCall, now);
     }
--- a/src/test/java/org/lacewingstep/controller/SpeedControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/SpeedControllerTest.java
@@ -178,7 +178,8 @@
 
     private static void report(final SiteFixture site, final Map<SpeedKey, SpeedSum> speeds) {
         site.step(new Event.PeerLoadReported(
-                OTHER.incarnation(), new PeerMessage.SiteLoad(Map.of(), Map.of(), Map.of(), Set.of(), speeds)));
+                OTHER.incarnation(),
+                new PeerMessage.SiteLoad(Map.of(), Map.of(), Map.of(), Set.of(), Map.of(), speeds)));
     }
 
     private static void measure(
--- a/src/test/java/org/lacewingstep/etcd/OuterNamesTest.java
+++ b/src/test/java/org/lacewingstep/etcd/OuterNamesTest.java
@@ -84,7 +84,16 @@
     @Test
     void callsKeepTheirNames() throws IOException {
         assertNames(
-                CALL_PARAMETERS, "request", "host", "path", "key", "tokens", "promptParts", "patience", "receivedAt");
+                CALL_PARAMETERS,
+                "request",
+                "host",
+                "path",
+                "key",
+                "tokens",
+                "promptParts",
+                "segments",
+                "patience",
+                "receivedAt");
         assertNames(
                 new CallSection.Call(
                         CALL_PARAMETERS,
