Count instances that still report when the store has lost their entries

Cause: an instance counted as present while the store listed it. When leases run out in an outage of the store, all entries are gone until each instance has written its own again, 1 to 4 s later. Until then each instance knew no other: it reported to nobody and took the whole rate of each team.

Change: an instance that the store no longer lists is counted while it reports, and dropped when it has been silent for the time after which an instance counts as cut off. A sender of reports whose address is not known counts as not reached.

--- a/src/main/java/org/lacewingstep/blackboard/SiteSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/SiteSection.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.blackboard;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 
@@ -15,11 +16,16 @@
  *
  * @param policy the policy of the site, empty if this process does not serve calls by the platform's registry
  * @param firstStart whether the whole site started together with this process
- * @param present the instances whose lease is in the store, including this one, not null
+ * @param present the instances that share the limits of the site, including this one, not null
+ * @param unlisted the instances among them that the store no longer lists, and since when, not null
  * @param lease the identifier of the lease under which this instance is registered, zero for none
  */
 public record SiteSection(
-        Optional<SitePolicy> policy, boolean firstStart, PMap<InstanceName, Member> present, long lease)
+        Optional<SitePolicy> policy,
+        boolean firstStart,
+        PMap<InstanceName, Member> present,
+        PMap<InstanceName, Instant> unlisted,
+        long lease)
         implements ServingSection {
     /** Minimum time for which changes are collected before a report to the other instances. */
     private static final Duration MIN_BROADCAST_DELAY = Duration.ofMillis(50);
@@ -42,7 +48,8 @@
     private static final int MAX_INSTANCES_WITHOUT_RELAYS = 16;
 
     /** The initial section of a process. */
-    public static final SiteSection INITIAL = new SiteSection(Optional.empty(), false, HashTreePMap.empty(), 0);
+    public static final SiteSection INITIAL =
+            new SiteSection(Optional.empty(), false, HashTreePMap.empty(), HashTreePMap.empty(), 0);
 
     /**
      * Counts the instances that share the limits of the site.
--- a/src/main/java/org/lacewingstep/controller/AllowanceShare.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceShare.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -20,6 +19,7 @@
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
+import org.pcollections.PMap;
 
 /**
  * Computes the team buckets, which hold what all instances together may still spend, and this instance's share of the
@@ -243,17 +243,25 @@
     /**
      * Computes the fraction of the instances, this one included, whose reports have arrived within the timeout.
      *
-     * <p>Limits are scaled by this fraction, so that the sides of a network partition together keep within them.
+     * <p>Limits are scaled by this fraction, so that the sides of a network partition together keep within them. An
+     * instance that reports and is not known by its address counts as not reached, since it learns nothing from here.
      */
     private static double reachableFraction(final Blackboard board, final Instant now) {
         final AllowanceSection section = board.serving().allowances();
         final Duration timeout = board.serving().site().peerTimeout();
-        final List<Member> others = board.serving().site().others();
-        final long reached = others.stream()
-                .map(other -> section.peers().get(other.name()))
-                .filter(peer -> peer != null && peer.at().plus(timeout).isAfter(now))
-                .count();
-        return (1.0 + reached) / (1 + others.size());
+        final PMap<InstanceName, Member> present = board.serving().site().present();
+        int reached = 0;
+        int unknown = 0;
+        for (final Map.Entry<InstanceName, AllowanceSection.PeerSpending> peer :
+                section.peers().entrySet()) {
+            if (peer.getValue().at().plus(timeout).isAfter(now)) {
+                reached += present.containsKey(peer.getKey()) ? 1 : 0;
+                unknown += present.containsKey(peer.getKey()) ? 0 : 1;
+            }
+        }
+        final int others =
+                present.size() - (present.containsKey(board.identity().name()) ? 1 : 0);
+        return (1.0 + reached) / (1 + others + unknown);
     }
 
     private static double instanceShare(final Blackboard board) {
--- a/src/main/java/org/lacewingstep/controller/SiteController.java
+++ b/src/main/java/org/lacewingstep/controller/SiteController.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.List;
 import java.util.Optional;
 
 import org.lacewingstep.blackboard.Blackboard;
@@ -12,13 +11,8 @@
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.SiteSection;
-import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.blackboard.TimerKey;
-import org.lacewingstep.domain.InstanceName;
-import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.SitePolicy;
-import org.pcollections.HashTreePMap;
-import org.pcollections.PMap;
 
 /** Renews the presence lease of this instance in the store and tracks which instances are present. */
 public final class SiteController implements Controller<SiteSection> {
@@ -42,13 +36,13 @@
         return switch (event) {
             case Event.SiteConfigured(SitePolicy policy, boolean firstStart) -> configure(board, policy, firstStart);
             case Event.SiteReloaded(SitePolicy policy) -> reload(site, policy);
-            case Event.TimerFired(TimerKey.Presence()) -> renew(board, now);
+            case Event.TimerFired(TimerKey.Presence()) -> renew(board, Presence.withoutGone(board, site, now), now);
             case Event.PresenceRenewalEnded(boolean renewed, long lease) ->
                 renewed ? Outcome.of(withLease(site, lease)) : retry(withLease(site, lease), now);
             case Event.StoreRead(var content, long revision, var requestedAt) ->
-                Outcome.of(withPresent(site, apply(HashTreePMap.empty(), content)));
+                Outcome.of(Presence.withoutGone(board, Presence.read(site, content, now), now));
             case Event.StoreChanged(var changes, long revision) ->
-                Outcome.of(withPresent(site, apply(site.present(), changes)));
+                Outcome.of(Presence.withoutGone(board, Presence.change(site, changes, now), now));
             default -> Outcome.of(site);
         };
     }
@@ -60,18 +54,19 @@
         builder.add(new Event.TimerFired(new TimerKey.Presence()));
         builder.add(new Effect.Log(
                 Decision.of("settings", "in force", Input.of("failure_domain", policy.failureDomain()))));
-        return builder.outcome(new SiteSection(Optional.of(policy), firstStart, site.present(), site.lease()));
+        return builder.outcome(
+                new SiteSection(Optional.of(policy), firstStart, site.present(), site.unlisted(), site.lease()));
     }
 
     private static Outcome<SiteSection> reload(final SiteSection site, final SitePolicy policy) {
         final OutcomeBuilder builder = new OutcomeBuilder();
         builder.add(new Effect.Log(
                 Decision.of("settings", "reloaded", Input.of("failure_domain", policy.failureDomain()))));
-        return builder.outcome(new SiteSection(Optional.of(policy), site.firstStart(), site.present(), site.lease()));
+        return builder.outcome(
+                new SiteSection(Optional.of(policy), site.firstStart(), site.present(), site.unlisted(), site.lease()));
     }
 
-    private static Outcome<SiteSection> renew(final Blackboard board, final Instant now) {
-        final SiteSection site = board.serving().site();
+    private static Outcome<SiteSection> renew(final Blackboard board, final SiteSection site, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
         builder.add(new Effect.RenewPresence(board.identity().member(), site.lease(), LEASE_DURATION));
         builder.add(new Effect.StartTimer(new TimerKey.Presence(), now.plus(RENEWAL_INTERVAL)));
@@ -85,24 +80,7 @@
         return builder.outcome(site);
     }
 
-    private static PMap<InstanceName, Member> apply(
-            final PMap<InstanceName, Member> present, final List<StoreChange> changes) {
-        PMap<InstanceName, Member> next = present;
-        for (final StoreChange change : changes) {
-            next = switch (change) {
-                case StoreChange.InstanceRegistered(Member member) -> next.plus(member.name(), member);
-                case StoreChange.InstanceUnregistered(InstanceName instance) -> next.minus(instance);
-                default -> next;
-            };
-        }
-        return next;
-    }
-
     private static SiteSection withLease(final SiteSection site, final long lease) {
-        return new SiteSection(site.policy(), site.firstStart(), site.present(), lease);
-    }
-
-    private static SiteSection withPresent(final SiteSection site, final PMap<InstanceName, Member> present) {
-        return new SiteSection(site.policy(), site.firstStart(), present, site.lease());
+        return new SiteSection(site.policy(), site.firstStart(), site.present(), site.unlisted(), lease);
     }
 }
--- a/src/test/java/org/lacewingstep/controller/TeamRateBoundTest.java
+++ b/src/test/java/org/lacewingstep/controller/TeamRateBoundTest.java
@@ -13,6 +13,7 @@
 import org.lacewingstep.blackboard.CallResult;
 import org.lacewingstep.blackboard.Effect;
 import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.blackboard.TimerKey;
 import org.lacewingstep.domain.AllowanceBucket;
 import org.lacewingstep.domain.Member;
@@ -59,6 +60,45 @@
         assertThat(maxUnitsInWindow()).isLessThanOrEqualTo(BOUND);
     }
 
+    /** The store comes back without the entries of the instances; each writes its own again, one restarts before. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void noWindowExceedsTheBoundWhileTheStoreHasLostAllInstances(final long seed) {
+        final Random random = new Random(seed);
+        start();
+        simulate(random, 1000, 0.3, false);
+
+        loseInstances(random);
+        simulate(random, 100, 0.3, false);
+        restart(random.nextInt(INSTANCES), 1101, false);
+        simulate(random, 600, 0.3, false);
+        for (final Member member : members) {
+            sites.forEach(site -> site.changeStore(new StoreChange.InstanceRegistered(member)));
+            simulate(random, 20, 0.3, false);
+        }
+        simulate(random, 1000, 0.3, false);
+
+        assertThat(maxUnitsInWindow()).isLessThanOrEqualTo(BOUND);
+        assertThat(sites).allMatch(site -> site.board().serving().site().instances() == INSTANCES);
+    }
+
+    @Test
+    void instanceThatIsGoneIsNotCountedAnyLonger() {
+        start();
+        simulate(new Random(1), 300, 0.3, false);
+        isolatedInstance = 5;
+        isolatedUntilStep = Long.MAX_VALUE;
+        simulate(new Random(1), 500, 0.3, false);
+
+        sites.forEach(site -> site.changeStore(
+                new StoreChange.InstanceUnregistered(members.get(5).name())));
+
+        assertThat(sites.subList(0, 5))
+                .allMatch(site -> site.board().serving().site().instances() == 5);
+        // It hears from nobody, so it may be the one that is cut off.
+        assertThat(sites.get(5).board().serving().site().instances()).isEqualTo(INSTANCES);
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
     void teamWithinItsLimitIsNeverRefused(final long seed) {
@@ -89,6 +129,31 @@
         }
     }
 
+    private void loseInstances(final Random random) {
+        final StoreChange[] lost = members.stream()
+                .map(member -> new StoreChange.InstanceUnregistered(member.name()))
+                .toArray(StoreChange[]::new);
+        for (final SiteFixture site : sites) {
+            if (random.nextBoolean()) {
+                site.changeStore(lost);
+            } else {
+                site.readStore(SiteFixture.table(1, RATE), SiteFixture.upstreams());
+            }
+        }
+    }
+
+    private void restart(final int index, final long process, final boolean listed) {
+        members.set(index, SiteFixture.member("i" + index, process));
+        sites.set(index, listed ? site(index, false) : unlistedSite(index));
+    }
+
+    private SiteFixture unlistedSite(final int index) {
+        final SiteFixture site = new SiteFixture(members.get(index), false, SLACK);
+        site.advanceClock(Duration.between(site.now(), sites.getFirst().now()));
+        site.readStore(SiteFixture.table(1, RATE), SiteFixture.upstreams());
+        return site;
+    }
+
     private SiteFixture site(final int index, final boolean firstStart) {
         final SiteFixture site = new SiteFixture(members.get(index), firstStart, SLACK);
         if (!sites.isEmpty()) {
@@ -169,8 +234,7 @@
             isolatedInstance = target;
             isolatedUntilStep = step + 400;
         } else {
-            members.set(target, SiteFixture.member("i" + target, 1001 + step));
-            sites.set(target, site(target, false));
+            restart(target, 1001 + step, true);
         }
     }
 
