Test a rollout through a process and its store

The plan's revision was taken from the response to a write of two items; a store that counts each item made every later write fail. The plan is written last, and the revision that the item itself has is taken when it is read.

Measured: RolloutProcessTest failed with the state 'running' before and passes now, for a version that is good and one that fails.

--- a/src/main/java/org/lacewingstep/controller/RolloutController.java
+++ b/src/main/java/org/lacewingstep/controller/RolloutController.java
@@ -165,6 +165,10 @@
     private static RolloutSection withPlan(
             final RolloutSection section, final RolloutPlan plan, final long revision, final Instant now) {
         final Rollout known = section.of(plan.service());
+        // The item's own revision is the one to compare with, whatever the response to its write named.
+        if (known.plan().filter(plan::equals).isPresent()) {
+            return section.with(plan.service(), known.withPlan(plan, revision, known.stageSince(), known.view()));
+        }
         if (revision <= known.revision()) {
             return section;
         }
@@ -207,7 +211,10 @@
         final Rollout known = section.of(plan.service());
         final Duty duty = new Duty(known.duty().stage(), known.duty().since(), false, now.plus(RETRY_INTERVAL));
         final RolloutSection ended = section.with(plan.service(), known.with(known.view(), duty));
-        return revision.map(written -> withPlan(ended, plan, written, now)).orElse(ended);
+        final boolean seen = known.plan().filter(plan::equals).isPresent();
+        return revision.filter(written -> !seen)
+                .map(written -> withPlan(ended, plan, written, now))
+                .orElse(ended);
     }
 
     private static Outcome<RolloutSection> check(final Blackboard board, final Instant now) {
--- a/src/main/java/org/lacewingstep/platform/PlatformStoreAdapter.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreAdapter.java
@@ -236,8 +236,8 @@
                 .put("key", RolloutCodec.planKey(plan.service()))
                 .put("revision", expectedRevision);
         body.putArray("writes")
-                .add(write(RolloutCodec.planKey(plan.service()), RolloutCodec.encodePlan(plan)))
-                .add(write(RolloutCodec.statusKey(plan.service()), RolloutCodec.encodeStatus(plan)));
+                .add(write(RolloutCodec.statusKey(plan.service()), RolloutCodec.encodeStatus(plan)))
+                .add(write(RolloutCodec.planKey(plan.service()), RolloutCodec.encodePlan(plan)));
         body.putArray("remove");
         run(
                 store.post(TRANSACTION_PATH, body)
--- a/src/standin/java/org/lacewingstep/standin/PlatformStoreStandIn.java
+++ b/src/standin/java/org/lacewingstep/standin/PlatformStoreStandIn.java
@@ -126,6 +126,19 @@
         notifyAll();
     }
 
+    /**
+     * Reads the value of an item.
+     *
+     * @param key the key of the item, not null
+     * @return the text of the value, empty if there is no item
+     */
+    public synchronized String read(final String key) {
+        final ObjectNode item = items.get(key);
+        return item == null
+                ? ""
+                : new String(Base64.getDecoder().decode(item.path("value").asText()), StandardCharsets.UTF_8);
+    }
+
     /**
      * Injects a fault into the store or removes the current one.
      *
--- a/src/test/java/org/lacewingstep/command/PlatformTestSite.java
+++ b/src/test/java/org/lacewingstep/command/PlatformTestSite.java
@@ -73,7 +73,7 @@
             "limits":{"maxBodyBytes":4194304,"idleTimeoutMs":15000},"tenants":[]}""";
     private static final String UPSTREAM =
             """
-            {"service":"%s","address":"127.0.0.1:%d","zone":"a","version":"v1","slots":6,"state":"ready",
+            {"service":"%s","address":"127.0.0.1:%d","zone":"a","version":"%s","slots":6,"state":"ready",
             "coldRemainingMs":0,"seq":1,"born":%d%s}""";
 
     private final AtomicInteger calls = new AtomicInteger();
@@ -126,7 +126,31 @@
     }
 
     private void register(final String name, final String service, final RawUpstream upstream, final String stage) {
-        store.put("servers/" + name, UPSTREAM.formatted(service, upstream.port(), starts.get(), stage));
+        register(name, service, upstream, "v1", stage);
+    }
+
+    private void register(
+            final String name,
+            final String service,
+            final RawUpstream upstream,
+            final String version,
+            final String stage) {
+        store.put("servers/" + name, UPSTREAM.formatted(service, upstream.port(), version, starts.get(), stage));
+    }
+
+    /** Orders to move the calls of the pair to another version, and registers the upstreams of that version. */
+    void rollOut(final String version, final Duration limit, final List<RawUpstream> upstreams) {
+        store.put(
+                "op/rollout/pair",
+                "{\"service\":\"pair\",\"target\":\"%s\",\"durationS\":%d}".formatted(version, limit.toSeconds()));
+        for (int i = 0; i < upstreams.size(); i++) {
+            register("i-" + version + "-" + i, "pair", upstreams.get(i), version, "");
+        }
+    }
+
+    /** Returns the state that the operators read, empty if none was written. */
+    String rolloutState() {
+        return store.read("status/rollout/pair");
     }
 
     /** Registers both upstreams of a pair with a new time of start, as after a crash. */
