Count calls without data and compare with recent responses

The share of bad responses of the other versions also follows their recent responses, so that a disturbance of all versions condemns none. Engines keep their roles while a rollout of their service runs, since the idle engines of the new version would be ordered away.

--- a/src/main/java/org/lacewingstep/controller/RoleController.java
+++ b/src/main/java/org/lacewingstep/controller/RoleController.java
@@ -164,7 +164,8 @@
             final Blackboard board, final RoleSection section, final Instant now) {
         final Map<UpstreamName, RolePlan.Change> changes = new HashMap<>();
         section.occupancies().forEach((service, occupancy) -> {
-            if (occupancy.samples() < MIN_SAMPLES) {
+            if (occupancy.samples() < MIN_SAMPLES
+                    || board.serving().rollouts().of(service).isRunning()) {
                 return;
             }
             final List<RegisteredUpstream> prefill = engines(board, service, UpstreamRole.PREFILL, now);
--- a/src/main/java/org/lacewingstep/controller/RolloutController.java
+++ b/src/main/java/org/lacewingstep/controller/RolloutController.java
@@ -23,6 +23,7 @@
 import org.lacewingstep.blackboard.RolloutSection.View;
 import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.blackboard.TimerKey;
+import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
@@ -48,6 +49,9 @@
     /** Time after a failed write before the next one, in which the plan would be read if it was written. */
     private static final Duration RETRY_INTERVAL = Duration.ofSeconds(1);
 
+    /** Result of an attempt that made no progress for too long; it counts at once, whatever follows. */
+    private static final CallResult NO_DATA = new CallResult.Broken(true, false);
+
     @Override
     public Class<RolloutSection> section() {
         return RolloutSection.class;
@@ -70,6 +74,14 @@
             case Event.RolloutAdvanced(RolloutOccurrence occurrence) -> Outcome.of(apply(board, occurrence, now));
             case Event.CallAttemptEnded(RequestIdentifier request, int attempt, CallResult result) ->
                 Outcome.of(RolloutCounting.withEnded(board, request, attempt, result, now));
+            case Event.UpstreamStalled(var upstream, Optional<AttemptIdentifier> stalled) ->
+                Outcome.of(stalled.map(attempt ->
+                                RolloutCounting.withEnded(board, attempt.request(), attempt.number(), NO_DATA, now))
+                        .orElse(section));
+            case Event.TimerFired(TimerKey.CallDeadline(RequestIdentifier request))
+            when section.sent().containsKey(request) ->
+                Outcome.of(RolloutCounting.withEnded(
+                        board, request, section.sent().get(request).attempt(), NO_DATA, now));
             case Event.PeerLoadReported(Incarnation origin, var load) ->
                 Outcome.of(RolloutCounting.withReport(section, origin, load.answers()));
             // The time of a suspension is not part of the present time, so the age of the news would be wrong.
--- a/src/main/java/org/lacewingstep/controller/RolloutRouting.java
+++ b/src/main/java/org/lacewingstep/controller/RolloutRouting.java
@@ -59,20 +59,18 @@
         final RolloutSection section = board.serving().rollouts();
         final Rollout rollout = section.rollouts().get(upstream.service());
         if (rollout == null) {
-            return isEstablished(section, upstream) || !isAnyEstablishedPresent(board, upstream.service());
+            return mayServe(board, upstream);
         }
         final Optional<VersionName> bound = boundVersion(board, call, upstream.role());
         if (bound.isPresent()) {
             return bound.get().equals(upstream.version()) && !isWithheld(rollout, upstream.version());
         }
-        final boolean established =
-                isEstablished(section, upstream) || !isAnyEstablishedPresent(board, upstream.service());
         if (isAwaited(rollout, upstream.version())) {
             return isEstablished(section, upstream);
         }
         return rollout.plan()
-                .map(plan -> permits(board, call, upstream, rollout, plan, established, now))
-                .orElse(established);
+                .map(plan -> permits(board, call, upstream, rollout, plan, now))
+                .orElseGet(() -> mayServe(board, upstream));
     }
 
     private static boolean permits(
@@ -81,19 +79,22 @@
             final RegisteredUpstream upstream,
             final Rollout rollout,
             final RolloutPlan plan,
-            final boolean established,
             final Instant now) {
         final boolean target = upstream.version().equals(plan.target());
+        if (target && isEstablished(board.serving().rollouts(), upstream)) {
+            return true;
+        }
         return switch (plan.stage()) {
             case PROBING -> {
                 final boolean drawn = isDrawn(board, call, rollout, plan, now);
                 yield target
                         ? drawn && rollout.view().probed().contains(upstream.name())
-                        : established && (!drawn || hasWaited(call, now));
+                        : (!drawn || hasWaited(call, now)) && mayServe(board, upstream);
             }
-            case SHIFTING -> target ? !rollout.view().isStopped() : established && mayReturn(call, rollout, now);
-            case SUCCEEDED -> target || established;
-            case ROLLED_BACK -> !target && established;
+            case SHIFTING ->
+                target ? !rollout.view().isStopped() : mayReturn(call, rollout, now) && mayServe(board, upstream);
+            case SUCCEEDED -> target || mayServe(board, upstream);
+            case ROLLED_BACK -> !target && mayServe(board, upstream);
         };
     }
 
@@ -117,6 +118,12 @@
                 .isPresent();
     }
 
+    /** Returns whether an upstream serves without an order: also one of another version, if no other is left. */
+    private static boolean mayServe(final Blackboard board, final RegisteredUpstream upstream) {
+        return isEstablished(board.serving().rollouts(), upstream)
+                || !isAnyEstablishedPresent(board, upstream.service());
+    }
+
     private static boolean isEstablished(final RolloutSection section, final RegisteredUpstream upstream) {
         final Set<VersionName> versions = section.established().get(upstream.service());
         return versions == null || versions.contains(upstream.version());
--- a/src/main/java/org/lacewingstep/rollout/VersionJudgement.java
+++ b/src/main/java/org/lacewingstep/rollout/VersionJudgement.java
@@ -33,9 +33,18 @@
     /** Largest share of bad responses of the other versions with which a version can still be compared. */
     private static final double MAX_BAD_SHARE = 0.45;
 
-    /** Difference between the shares of bad responses that has to be found. */
+    /** Difference between the shares of bad responses that has to be found while the other versions serve as well. */
     private static final double DIFFERENCE = 0.1;
 
+    /** Difference that has to be found when only what the other versions did before is known. */
+    private static final double LATER_DIFFERENCE = 0.3;
+
+    /** Weight that earlier responses of the other versions keep from one judgement to the next. */
+    private static final double RECENT_WEIGHT = 0.92;
+
+    /** Recent responses of the other versions before their share counts beside that of all. */
+    private static final int MIN_RECENT = 10;
+
     /** Bad responses after which nothing more is sent to the version. */
     private static final int MAX_BAD = 50;
 
@@ -70,9 +79,29 @@
      *
      * @param value the sum, from zero
      * @param seen the responses that the sum includes, not null
+     * @param others the responses of the other versions that were known, not null
+     * @param recentAnswers weighted number of recent responses of the other versions
+     * @param recentBad weighted number of recent bad responses of the other versions
      */
-    public record Score(double value, Count seen) {
-        static final Score NONE = new Score(0, Count.NONE);
+    public record Score(double value, Count seen, Count others, double recentAnswers, double recentBad) {
+        static final Score NONE = new Score(0, Count.NONE, Count.NONE, 0, 0);
+
+        private Score withOthers(final Count known) {
+            final Count added = known.minus(others);
+            return new Score(
+                    value,
+                    seen,
+                    known,
+                    recentAnswers * RECENT_WEIGHT + Math.max(0, added.answers()),
+                    recentBad * RECENT_WEIGHT + Math.max(0, added.bad()));
+        }
+
+        /** Computes the share of bad responses of the other versions, of all or of recent ones, whichever is larger. */
+        private double expectedBadShare() {
+            final double all = others.answers() == 0 ? 0 : others.bad() / (double) others.answers();
+            final double recent = recentAnswers < MIN_RECENT ? 0 : recentBad / recentAnswers;
+            return Math.max(MIN_BAD_SHARE, Math.min(MAX_BAD_SHARE, Math.max(all, recent)));
+        }
     }
 
     /**
@@ -88,52 +117,50 @@
         tests.put(ALL_ROUTES, total);
         final double limit = Math.log(FALSE_ALARM_ANSWERS * tests.size());
         final Map<String, Score> next = new HashMap<>();
-        boolean bad = verdict == Verdict.BAD || hasManyBad(total, probing);
+        boolean bad = verdict == Verdict.BAD;
         boolean acceptable = total.version().answers() >= MIN_ANSWERS;
         for (final Map.Entry<String, Comparison> test : tests.entrySet()) {
-            final Score score = advance(scores.getOrDefault(test.getKey(), Score.NONE), test.getValue(), limit);
+            final Score score =
+                    advance(scores.getOrDefault(test.getKey(), Score.NONE), test.getValue(), limit, probing);
             next.put(test.getKey(), score);
-            bad |= score.value() >= limit && isSpread(test.getValue());
-            acceptable &= score.value() < limit * MAX_ACCEPTED_PART || !isSpread(test.getValue());
+            final boolean spread = isSpread(test.getValue(), score.expectedBadShare());
+            bad |= score.value() >= limit && spread;
+            acceptable &= score.value() < limit * MAX_ACCEPTED_PART || !spread;
         }
+        bad |= hasManyBad(total, next.get(ALL_ROUTES).expectedBadShare(), probing);
         final Verdict known = acceptable ? Verdict.ACCEPTABLE : Verdict.OPEN;
         return new VersionJudgement(next, bad ? Verdict.BAD : known);
     }
 
-    private static Score advance(final Score score, final Comparison comparison, final double limit) {
+    private static Score advance(
+            final Score known, final Comparison comparison, final double limit, final boolean probing) {
+        final Score score = known.withOthers(comparison.others());
         final Count version = comparison.version();
         final long bad = Math.max(0, version.bad() - score.seen().bad());
         final long good = Math.max(0, version.answers() - score.seen().answers() - bad);
-        final double expected = expectedBadShare(comparison);
-        final double suspected = expected + Math.max(DIFFERENCE, expected);
+        final double expected = score.expectedBadShare();
+        final double suspected = expected + Math.max(probing ? DIFFERENCE : LATER_DIFFERENCE, expected);
         final double sum = score.value()
                 + bad * Math.log(suspected / expected)
                 + good * Math.log((1 - suspected) / (1 - expected));
         final Count seen = new Count(
                 Math.max(version.answers(), score.seen().answers()),
                 Math.max(version.bad(), score.seen().bad()));
-        return new Score(Math.max(0, Math.min(2 * limit, sum)), seen);
-    }
-
-    private static double expectedBadShare(final Comparison comparison) {
-        final Count others = comparison.others();
-        final double share = others.answers() == 0 ? 0 : others.bad() / (double) others.answers();
-        return Math.max(MIN_BAD_SHARE, Math.min(MAX_BAD_SHARE, share));
+        return new Score(
+                Math.max(0, Math.min(2 * limit, sum)), seen, score.others(), score.recentAnswers(), score.recentBad());
     }
 
     /** Returns whether the bad responses come from more than one part of the upstreams, if there are more. */
-    private static boolean isSpread(final Comparison comparison) {
+    private static boolean isSpread(final Comparison comparison, final double expected) {
         if (comparison.parts().size() < 2) {
             return true;
         }
         final Count rest = comparison.withoutWorstPart();
-        return rest.bad() >= MIN_SPREAD_BAD
-                && rest.bad() >= SPREAD_FACTOR * expectedBadShare(comparison) * rest.answers();
+        return rest.bad() >= MIN_SPREAD_BAD && rest.bad() >= SPREAD_FACTOR * expected * rest.answers();
     }
 
-    private static boolean hasManyBad(final Comparison total, final boolean probing) {
+    private static boolean hasManyBad(final Comparison total, final double expected, final boolean probing) {
         final Count version = total.version();
-        return version.bad() >= MAX_BAD
-                && (probing || version.bad() >= 2 * expectedBadShare(total) * version.answers());
+        return version.bad() >= MAX_BAD && (probing || version.bad() >= 2 * expected * version.answers());
     }
 }
--- a/src/test/java/org/lacewingstep/controller/RolloutFleet.java
+++ b/src/test/java/org/lacewingstep/controller/RolloutFleet.java
@@ -76,6 +76,7 @@
     record Response(CallResult result, Duration time) {
         static final Response GOOD = new Response(new CallResult.Served(), Duration.ofMillis(40));
         static final Response FAILED = new Response(new CallResult.FailedByUpstream(500), Duration.ofMillis(40));
+        static final Response NONE = new Response(new CallResult.Broken(true, false), Duration.ofSeconds(10));
         static final Response SLOW = new Response(new CallResult.Served(), Duration.ofMillis(200));
     }
 
--- a/src/test/java/org/lacewingstep/controller/RolloutFleetTest.java
+++ b/src/test/java/org/lacewingstep/controller/RolloutFleetTest.java
@@ -87,6 +87,29 @@
         assertExposureWithinBounds(Set.of());
     }
 
+    @Test
+    void versionThatDoesNotRespondIsRolledBack() {
+        fleet.respond((upstream, path, at) -> fails(upstream.version(), 0.4) ? Response.NONE : Response.GOOD);
+        start();
+        fleet.run(LIMIT);
+
+        assertThat(fleet.stages()).containsExactly(Stage.PROBING, Stage.ROLLED_BACK);
+        assertExposureWithinBounds(Set.of());
+    }
+
+    @Test
+    void failuresOfAllVersionsAtOnceDoNotCondemnTheNewOne() {
+        start();
+        fleet.respond((upstream, path, at) -> at.isAfter(orderedAt.plusSeconds(4))
+                        && at.isBefore(orderedAt.plusSeconds(7))
+                        && fleet.random().nextDouble() < 0.3
+                ? Response.FAILED
+                : Response.GOOD);
+        fleet.run(LIMIT);
+
+        assertThat(fleet.stages()).endsWith(Stage.SUCCEEDED);
+    }
+
     @Test
     void versionThatFailsOnOneRouteIsRolledBack() {
         fleet.respond((upstream, path, at) ->
