--- a/src/main/java/org/lacewingstep/blackboard/ServingSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingSection.java
@@ -4,6 +4,7 @@
 public sealed interface ServingSection extends Section
         permits AllowanceSection,
                 CallSection,
+                LearnedSection,
                 PromptSection,
                 RegistrySection,
                 RelaySection,
@@ -11,5 +12,4 @@
                 RolloutSection,
                 RoutingSection,
                 SiteSection,
-                UpstreamLoadSection,
-                UpstreamNoticeSection {}
+                UpstreamLoadSection {}
--- a/src/main/java/org/lacewingstep/controller/AllowanceController.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceController.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 
+import org.lacewingstep.blackboard.AllowanceChange;
 import org.lacewingstep.blackboard.AllowanceSection;
 import org.lacewingstep.blackboard.AllowanceSection.PeerSpending;
 import org.lacewingstep.blackboard.AllowanceSection.Spending;
@@ -16,11 +18,13 @@
 import org.lacewingstep.domain.AllowanceBucket;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
+import org.lacewingstep.domain.RetryBudget;
+import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.TeamName;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
-/** Debits the bucket of each team for units spent at any instance, and the retry budget of this instance. */
+/** Debits the bucket of each team for units spent at any instance, and the retry budgets of this instance. */
 public final class AllowanceController implements Controller<AllowanceSection> {
     /** How long the sums of an absent instance are kept after its last report; longer than usual network partitions. */
     private static final Duration PEER_RETENTION = Duration.ofMinutes(5);
@@ -35,13 +39,7 @@
         final AllowanceSection section = board.serving().allowances();
         return Outcome.of(
                 switch (event) {
-                    case Event.AllowanceSpent(TeamName team, long units) -> withOwnSpending(board, team, units, now);
-                    case Event.FirstSend() ->
-                        section.withRetryBudget(
-                                AllowanceShare.retryBudget(board, now).earn(AllowanceShare.retriesPerFirstSend(board)));
-                    case Event.RetrySend() ->
-                        section.withRetryBudget(
-                                AllowanceShare.retryBudget(board, now).spend());
+                    case Event.AllowanceChanged(AllowanceChange change) -> withChange(board, change, now);
                     case Event.PeerLoadReported(Incarnation sender, PeerMessage.SiteLoad load) ->
                         withPeerSpending(board, sender, load.spent(), now);
                     case Event.StoreRead read -> withBucketsForTable(board, now);
@@ -51,6 +49,36 @@
                 });
     }
 
+    private static AllowanceSection withChange(
+            final Blackboard board, final AllowanceChange change, final Instant now) {
+        return switch (change) {
+            case AllowanceChange.Spent(TeamName team, long units) -> withOwnSpending(board, team, units, now);
+            case AllowanceChange.Returned(TeamName team, long units) -> withReturned(board, team, units, now);
+            case AllowanceChange.FirstSend(ServiceName service) ->
+                withRetryBudget(board, service, budget -> budget.earn(AllowanceShare.retriesPerFirstSend(board)), now);
+            case AllowanceChange.RetryReserved(ServiceName service) ->
+                withRetryBudget(board, service, RetryBudget::reserve, now);
+            case AllowanceChange.RetrySent(ServiceName service) ->
+                withRetryBudget(board, service, RetryBudget::send, now);
+            case AllowanceChange.RetryUnsent(ServiceName service) ->
+                withRetryBudget(board, service, RetryBudget::undoSend, now);
+            case AllowanceChange.RetryReturned(ServiceName service) ->
+                withRetryBudget(board, service, RetryBudget::giveBack, now);
+            case AllowanceChange.UncountedRetry(ServiceName service) ->
+                withRetryBudget(board, service, RetryBudget::charge, now);
+        };
+    }
+
+    private static AllowanceSection withRetryBudget(
+            final Blackboard board,
+            final ServiceName service,
+            final UnaryOperator<RetryBudget> change,
+            final Instant now) {
+        return board.serving()
+                .allowances()
+                .withRetryBudget(service, change.apply(AllowanceShare.retryBudget(board, service, now)));
+    }
+
     /** Computes all buckets for a new routing table, so that a bucket starts to fill before the first request. */
     private static AllowanceSection withBucketsForTable(final Blackboard board, final Instant now) {
         final AllowanceSection section = withoutExpiredPeers(board, now);
@@ -85,11 +113,17 @@
     private static AllowanceSection withOwnSpending(
             final Blackboard board, final TeamName team, final long units, final Instant now) {
         final AllowanceSection section = board.serving().allowances();
-        final double previousUnits = Optional.ofNullable(section.spent().get(team))
-                .map(Spending::units)
-                .orElse(0.0);
-        return withDebit(board, section, team, units, now)
-                .withSpent(section.spent().plus(team, new Spending(previousUnits + units, now)));
+        final Spending spending = section.spent().getOrDefault(team, Spending.NONE);
+        return withDebit(board, section, team, bucket -> bucket.spend(units), now)
+                .withSpent(section.spent().plus(team, spending.plus(units, now)));
+    }
+
+    private static AllowanceSection withReturned(
+            final Blackboard board, final TeamName team, final long units, final Instant now) {
+        final AllowanceSection section = board.serving().allowances();
+        final Spending spending = section.spent().getOrDefault(team, Spending.NONE);
+        return withDebit(board, section, team, bucket -> bucket.giveBack(units), now)
+                .withSpent(section.spent().plus(team, spending.minus(units)));
     }
 
     /** Debits the increase of a peer's cumulative sums; reports repeat the sums, so a lost message loses no units. */
@@ -106,7 +140,8 @@
             final double countedUnits =
                     base.units().getOrDefault(sum.getKey(), startedLater || sameProcess ? 0.0 : sum.getValue());
             if (sum.getValue() > countedUnits) {
-                section = withDebit(board, section, sum.getKey(), sum.getValue() - countedUnits, now);
+                final double units = sum.getValue() - countedUnits;
+                section = withDebit(board, section, sum.getKey(), bucket -> bucket.spendElsewhere(units), now);
             }
         }
         return section.withPeers(section.peers().plus(sender.instance(), base.with(now, sums)));
@@ -116,11 +151,11 @@
             final Blackboard board,
             final AllowanceSection section,
             final TeamName team,
-            final double units,
+            final UnaryOperator<AllowanceBucket> debit,
             final Instant now) {
         return AllowanceShare.bucket(board, team, now)
                 .map(bucket -> section.withTeams(
-                        section.tableRevision(), section.teams().plus(team, bucket.spend(units))))
+                        section.tableRevision(), section.teams().plus(team, debit.apply(bucket))))
                 .orElse(section);
     }
 }
--- a/src/main/java/org/lacewingstep/controller/AllowanceShare.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceShare.java
@@ -11,9 +11,11 @@
 import org.lacewingstep.blackboard.AllowanceSection;
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.domain.AllowanceBucket;
+import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.RetryBudget;
+import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.SitePolicy;
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
@@ -54,6 +56,11 @@
      */
     private static final double SELECTION_DIVISOR = 2;
 
+    /** Fraction of the rate slack that all instances together may have spent before they report without delay. */
+    private static final double SOON_REPORTED_FRACTION = 0.5;
+
+    private static final int MILLISECONDS_PER_SECOND = 1000;
+
     private AllowanceShare() {}
 
     /**
@@ -95,18 +102,69 @@
     }
 
     /**
-     * Computes the current retry budget of this instance.
+     * Computes how many units other instances have probably spent that no report has named yet. No more than the part
+     * of the slack that the bucket holds in addition to the team's burst, so that a team within its limit has the whole
+     * of the limit.
+     *
+     * @param board the blackboard, not null
+     * @param bucket the current bucket of the team, not null
+     * @param now the present time, not null
+     * @return the units, zero or more
+     */
+    static double unreportedUnits(final Blackboard board, final AllowanceBucket bucket, final Instant now) {
+        final double delaySeconds = board.serving().site().reportDelay().toMillis() / (double) MILLISECONDS_PER_SECOND;
+        final double limit =
+                board.serving().site().bounds().rateSlack() * SLACK_FRACTION * reachableFraction(board, now);
+        return Math.min(bucket.pace() * delaySeconds, limit);
+    }
+
+    /**
+     * Returns whether other instances need to know soon that this one has spent units: the same at each instance would
+     * use up half of the slack unseen.
+     *
+     * @param board the blackboard, not null
+     * @param units the units of a call
+     * @return true if the units should be reported without the delay of other changes
+     */
+    static boolean isReportedSoon(final Blackboard board, final long units) {
+        final double slack = board.serving().site().bounds().rateSlack();
+        return units * board.serving().site().instances() > slack * SOON_REPORTED_FRACTION;
+    }
+
+    /**
+     * Returns whether a report names new spending of a team whose bucket empties soon.
+     *
+     * @param board the blackboard, not null
+     * @param origin the instance that sent the report, not null
+     * @param spent the reported sums by team, not null
+     * @param now the present time, not null
+     * @return true if the report should be passed on without the delay of others
+     */
+    static boolean isPassedOnSoon(
+            final Blackboard board, final Incarnation origin, final Map<TeamName, Double> spent, final Instant now) {
+        final AllowanceSection.PeerSpending known =
+                board.serving().allowances().peers().get(origin.instance());
+        return spent.entrySet().stream()
+                .filter(sum -> known == null || sum.getValue() > known.units().getOrDefault(sum.getKey(), 0.0))
+                .anyMatch(sum -> bucket(board, sum.getKey(), now)
+                        .filter(AllowanceBucket::isUnderPressure)
+                        .isPresent());
+    }
+
+    /**
+     * Computes the current retry budget of a service at this instance. A restarted instance starts without credits.
      *
      * @param board the blackboard, not null
+     * @param service the service, not null
      * @param now the present time, not null
      * @return the retry budget, never null
      */
-    static RetryBudget retryBudget(final Blackboard board, final Instant now) {
+    static RetryBudget retryBudget(final Blackboard board, final ServiceName service, final Instant now) {
         final SitePolicy policy = board.serving().site().bounds();
-        return board.serving()
-                .allowances()
-                .retryBudget()
+        final RetryBudget known = board.serving().allowances().retryBudgets().get(service);
+        final RetryBudget budget = (known == null ? RetryBudget.NONE : known)
                 .withAllowance(policy.retrySlack() * instanceShare(board), policy.retryWindow(), now);
+        return known == null && !board.serving().site().firstStart() ? budget.withoutCredits() : budget;
     }
 
     /**
@@ -176,7 +234,7 @@
         final Map<TeamName, Double> units = new HashMap<>();
         board.serving().allowances().spent().forEach((team, spending) -> {
             if (spending.lastAt().plus(SPENDING_REPORT_PERIOD).isAfter(now)) {
-                units.put(team, spending.units());
+                units.put(team, spending.reported());
             }
         });
         return units;
--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -31,6 +31,8 @@
             new RelayController(),
             new UpstreamLoadController(),
             new UpstreamNoticeController(),
+            new SpeedController(),
+            new KeptPromptController(),
             new AllowanceController(),
             new RoleController(),
             new PromptController(),
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.lacewingstep.blackboard.AllowanceChange;
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallResult;
 import org.lacewingstep.blackboard.Effect;
@@ -64,13 +65,15 @@
                 scheduleBroadcast(board, withRequestEnded(section, name, tokens, result, now), now);
             case Event.UpstreamStalled(UpstreamName name, var replaceable) ->
                 Outcome.of(with(section, name, section.of(name).withBackOff(now.plus(STALL_BACKOFF))));
+            case Event.AllowanceChanged(AllowanceChange.Spent(var team, long units))
+            when AllowanceShare.isReportedSoon(board, units) ->
+                scheduleBroadcast(section, now.plus(board.serving().site().shortDelay()));
             case Event.LoadReportRequested() -> scheduleBroadcast(board, section, now);
             case Event.TimerFired(TimerKey.LoadBroadcast()) -> broadcast(board, now);
             case Event.PeerLoadReported(Incarnation sender, PeerMessage.SiteLoad load) ->
-                Outcome.of(new UpstreamLoadSection(
-                        section.loads(),
-                        section.peers().plus(sender.instance(), new PeerLoad(now, load.uses())),
-                        section.broadcastDue()));
+                Outcome.of(section.withoutReportsUntil(
+                                now.minus(board.serving().site().peerTimeout()))
+                        .withReport(sender.instance(), new PeerLoad(now, load.uses())));
             case Event.StoreRead(var content, long revision, Instant requestedAt) ->
                 Outcome.of(withoutRemoved(board, section));
             case Event.StoreChanged(var changes, long revision) -> Outcome.of(withoutRemoved(board, section));
@@ -87,25 +90,29 @@
                 loads = loads.minus(entry.getKey());
             }
         }
-        PMap<InstanceName, PeerLoad> peers = section.peers();
+        UpstreamLoadSection next = section.withLoads(loads);
         for (final InstanceName instance : section.peers().keySet()) {
             if (!board.serving().site().present().containsKey(instance)) {
-                peers = peers.minus(instance);
+                next = next.withoutReport(instance);
             }
         }
-        return new UpstreamLoadSection(loads, peers, section.broadcastDue());
+        return next;
     }
 
     /** Schedules a load broadcast after a short delay, so that changes until then are sent together. */
     private static Outcome<UpstreamLoadSection> scheduleBroadcast(
             final Blackboard board, final UpstreamLoadSection section, final Instant now) {
-        final Instant due = now.plus(board.serving().site().broadcastDelay());
+        return scheduleBroadcast(section, now.plus(board.serving().site().broadcastDelay()));
+    }
+
+    private static Outcome<UpstreamLoadSection> scheduleBroadcast(
+            final UpstreamLoadSection section, final Instant due) {
         if (!section.broadcastDue().isAfter(due)) {
             return Outcome.of(section);
         }
         final OutcomeBuilder builder = new OutcomeBuilder();
         builder.add(new Effect.StartTimer(new TimerKey.LoadBroadcast(), due));
-        return builder.outcome(new UpstreamLoadSection(section.loads(), section.peers(), due));
+        return builder.outcome(section.withBroadcastDue(due));
     }
 
     private static Outcome<UpstreamLoadSection> broadcast(final Blackboard board, final Instant now) {
@@ -124,11 +131,13 @@
                 AllowanceShare.recentSpending(board, now),
                 PromptReports.create(board.serving().prompts(), now),
                 UpstreamAvailability.reportedLeaving(board, now),
+                DemandReports.own(board, now),
+                UpstreamSpeeds.reported(board, now),
                 RolloutCounting.reported(board));
         reportReceivers(board, now).forEach(member -> builder.add(new Effect.SendToPeer(member, message)));
         final Instant due = now.plus(SiteSection.BROADCAST_INTERVAL);
         builder.add(new Effect.StartTimer(new TimerKey.LoadBroadcast(), due));
-        return builder.outcome(new UpstreamLoadSection(section.loads(), section.peers(), due));
+        return builder.outcome(section.withBroadcastDue(due));
     }
 
     /** Lists the receivers of a report; a relay sends its own report to itself and passes it on with the others. */
@@ -208,9 +217,18 @@
      */
     private static Load withRefusal(final Load load, final Instant now) {
         final int refusals = load.refusalsInRow() + 1;
-        final Duration backoff = REFUSAL_BACKOFF.multipliedBy(1L << Math.min(MAX_REFUSAL_DOUBLINGS, refusals - 1));
         return load.withHealth(load.failureShare(), load.failuresInRow(), refusals, load.avoidUntil())
-                .withBackOff(now.plus(backoff));
+                .withBackOff(now.plus(refusalBackOff(refusals)));
+    }
+
+    /**
+     * Computes the back-off after refusals.
+     *
+     * @param refusals the number of refusals in a row, one or more
+     * @return the back-off, never null
+     */
+    static Duration refusalBackOff(final int refusals) {
+        return REFUSAL_BACKOFF.multipliedBy(1L << Math.min(MAX_REFUSAL_DOUBLINGS, refusals - 1));
     }
 
     private static double raisedFailureShare(final Load load) {
@@ -219,6 +237,6 @@
 
     private static UpstreamLoadSection with(
             final UpstreamLoadSection section, final UpstreamName name, final Load load) {
-        return new UpstreamLoadSection(section.loads().plus(name, load), section.peers(), section.broadcastDue());
+        return section.withLoads(section.loads().plus(name, load));
     }
 }
--- a/src/main/java/org/lacewingstep/peer/wire/WireLoadDigest.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireLoadDigest.java
@@ -336,14 +336,14 @@
           case 1: // REPORTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list140 = iprot.readListBegin();
-                struct.reports = new java.util.ArrayList<WireLoadReport>(_list140.size);
-                @org.apache.thrift.annotation.Nullable WireLoadReport _elem141;
-                for (int _i142 = 0; _i142 < _list140.size; ++_i142)
+                org.apache.thrift.protocol.TList _list156 = iprot.readListBegin();
+                struct.reports = new java.util.ArrayList<WireLoadReport>(_list156.size);
+                @org.apache.thrift.annotation.Nullable WireLoadReport _elem157;
+                for (int _i158 = 0; _i158 < _list156.size; ++_i158)
                 {
-                  _elem141 = new WireLoadReport();
-                  _elem141.read(iprot);
-                  struct.reports.add(_elem141);
+                  _elem157 = new WireLoadReport();
+                  _elem157.read(iprot);
+                  struct.reports.add(_elem157);
                 }
                 iprot.readListEnd();
               }
@@ -372,9 +372,9 @@
         oprot.writeFieldBegin(REPORTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-          for (WireLoadReport _iter143 : struct.reports)
+          for (WireLoadReport _iter159 : struct.reports)
           {
-            _iter143.write(oprot);
+            _iter159.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -406,9 +406,9 @@
       if (struct.isSetReports()) {
         {
           oprot.writeI32(struct.reports.size());
-          for (WireLoadReport _iter144 : struct.reports)
+          for (WireLoadReport _iter160 : struct.reports)
           {
-            _iter144.write(oprot);
+            _iter160.write(oprot);
           }
         }
       }
@@ -420,14 +420,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list145 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reports = new java.util.ArrayList<WireLoadReport>(_list145.size);
-          @org.apache.thrift.annotation.Nullable WireLoadReport _elem146;
-          for (int _i147 = 0; _i147 < _list145.size; ++_i147)
+          org.apache.thrift.protocol.TList _list161 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reports = new java.util.ArrayList<WireLoadReport>(_list161.size);
+          @org.apache.thrift.annotation.Nullable WireLoadReport _elem162;
+          for (int _i163 = 0; _i163 < _list161.size; ++_i163)
           {
-            _elem146 = new WireLoadReport();
-            _elem146.read(iprot);
-            struct.reports.add(_elem146);
+            _elem162 = new WireLoadReport();
+            _elem162.read(iprot);
+            struct.reports.add(_elem162);
           }
         }
         struct.setReportsIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WireRolePlan.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireRolePlan.java
@@ -505,14 +505,14 @@
           case 2: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list124 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<WireRoleChange>(_list124.size);
-                @org.apache.thrift.annotation.Nullable WireRoleChange _elem125;
-                for (int _i126 = 0; _i126 < _list124.size; ++_i126)
+                org.apache.thrift.protocol.TList _list140 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<WireRoleChange>(_list140.size);
+                @org.apache.thrift.annotation.Nullable WireRoleChange _elem141;
+                for (int _i142 = 0; _i142 < _list140.size; ++_i142)
                 {
-                  _elem125 = new WireRoleChange();
-                  _elem125.read(iprot);
-                  struct.changes.add(_elem125);
+                  _elem141 = new WireRoleChange();
+                  _elem141.read(iprot);
+                  struct.changes.add(_elem141);
                 }
                 iprot.readListEnd();
               }
@@ -554,9 +554,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (WireRoleChange _iter127 : struct.changes)
+          for (WireRoleChange _iter143 : struct.changes)
           {
-            _iter127.write(oprot);
+            _iter143.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -600,9 +600,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (WireRoleChange _iter128 : struct.changes)
+          for (WireRoleChange _iter144 : struct.changes)
           {
-            _iter128.write(oprot);
+            _iter144.write(oprot);
           }
         }
       }
@@ -621,14 +621,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list129 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<WireRoleChange>(_list129.size);
-          @org.apache.thrift.annotation.Nullable WireRoleChange _elem130;
-          for (int _i131 = 0; _i131 < _list129.size; ++_i131)
+          org.apache.thrift.protocol.TList _list145 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<WireRoleChange>(_list145.size);
+          @org.apache.thrift.annotation.Nullable WireRoleChange _elem146;
+          for (int _i147 = 0; _i147 < _list145.size; ++_i147)
           {
-            _elem130 = new WireRoleChange();
-            _elem130.read(iprot);
-            struct.changes.add(_elem130);
+            _elem146 = new WireRoleChange();
+            _elem146.read(iprot);
+            struct.changes.add(_elem146);
           }
         }
         struct.setChangesIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireSiteLoad.java
@@ -14,6 +14,8 @@
   private static final org.apache.thrift.protocol.TField SPENT_FIELD_DESC = new org.apache.thrift.protocol.TField("spent", org.apache.thrift.protocol.TType.MAP, (short)2);
   private static final org.apache.thrift.protocol.TField PROMPTS_FIELD_DESC = new org.apache.thrift.protocol.TField("prompts", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField QUEUED_FIELD_DESC = new org.apache.thrift.protocol.TField("queued", org.apache.thrift.protocol.TType.LIST, (short)20);
+  private static final org.apache.thrift.protocol.TField SPEEDS_FIELD_DESC = new org.apache.thrift.protocol.TField("speeds", org.apache.thrift.protocol.TType.LIST, (short)21);
   private static final org.apache.thrift.protocol.TField ANSWERS_FIELD_DESC = new org.apache.thrift.protocol.TField("answers", org.apache.thrift.protocol.TType.LIST, (short)22);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireSiteLoadStandardSchemeFactory();
@@ -23,6 +25,8 @@
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Double> spent; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<WirePromptEvidence> prompts; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<WireUpstreamStart> leaving; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<WireDemand> queued; // optional
+  private @org.apache.thrift.annotation.Nullable java.util.List<WireSpeed> speeds; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<WireAnswerCounts> answers; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
@@ -31,6 +35,8 @@
     SPENT((short)2, "spent"),
     PROMPTS((short)3, "prompts"),
     LEAVING((short)4, "leaving"),
+    QUEUED((short)20, "queued"),
+    SPEEDS((short)21, "speeds"),
     ANSWERS((short)22, "answers");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
@@ -55,6 +61,10 @@
           return PROMPTS;
         case 4: // LEAVING
           return LEAVING;
+        case 20: // QUEUED
+          return QUEUED;
+        case 21: // SPEEDS
+          return SPEEDS;
         case 22: // ANSWERS
           return ANSWERS;
         default:
@@ -100,7 +110,7 @@
   }
 
   // isset id assignments
-  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING,_Fields.ANSWERS};
+  private static final _Fields optionals[] = {_Fields.PROMPTS,_Fields.LEAVING,_Fields.QUEUED,_Fields.SPEEDS,_Fields.ANSWERS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -117,6 +127,12 @@
     tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireUpstreamStart.class))));
+    tmpMap.put(_Fields.QUEUED, new org.apache.thrift.meta_data.FieldMetaData("queued", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireDemand.class))));
+    tmpMap.put(_Fields.SPEEDS, new org.apache.thrift.meta_data.FieldMetaData("speeds", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireSpeed.class))));
     tmpMap.put(_Fields.ANSWERS, new org.apache.thrift.meta_data.FieldMetaData("answers", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireAnswerCounts.class))));
@@ -165,6 +181,20 @@
       }
       this.leaving = __this__leaving;
     }
+    if (other.isSetQueued()) {
+      java.util.List<WireDemand> __this__queued = new java.util.ArrayList<WireDemand>(other.queued.size());
+      for (WireDemand other_element : other.queued) {
+        __this__queued.add(new WireDemand(other_element));
+      }
+      this.queued = __this__queued;
+    }
+    if (other.isSetSpeeds()) {
+      java.util.List<WireSpeed> __this__speeds = new java.util.ArrayList<WireSpeed>(other.speeds.size());
+      for (WireSpeed other_element : other.speeds) {
+        __this__speeds.add(new WireSpeed(other_element));
+      }
+      this.speeds = __this__speeds;
+    }
     if (other.isSetAnswers()) {
       java.util.List<WireAnswerCounts> __this__answers = new java.util.ArrayList<WireAnswerCounts>(other.answers.size());
       for (WireAnswerCounts other_element : other.answers) {
@@ -185,6 +215,8 @@
     this.spent = null;
     this.prompts = null;
     this.leaving = null;
+    this.queued = null;
+    this.speeds = null;
     this.answers = null;
   }
 
@@ -347,6 +379,88 @@
     }
   }
 
+  public int getQueuedSize() {
+    return (this.queued == null) ? 0 : this.queued.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WireDemand> getQueuedIterator() {
+    return (this.queued == null) ? null : this.queued.iterator();
+  }
+
+  public void addToQueued(WireDemand elem) {
+    if (this.queued == null) {
+      this.queued = new java.util.ArrayList<WireDemand>();
+    }
+    this.queued.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WireDemand> getQueued() {
+    return this.queued;
+  }
+
+  public WireSiteLoad setQueued(@org.apache.thrift.annotation.Nullable java.util.List<WireDemand> queued) {
+    this.queued = queued;
+    return this;
+  }
+
+  public void unsetQueued() {
+    this.queued = null;
+  }
+
+  /** Returns true if field queued is set (has been assigned a value) and false otherwise */
+  public boolean isSetQueued() {
+    return this.queued != null;
+  }
+
+  public void setQueuedIsSet(boolean value) {
+    if (!value) {
+      this.queued = null;
+    }
+  }
+
+  public int getSpeedsSize() {
+    return (this.speeds == null) ? 0 : this.speeds.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WireSpeed> getSpeedsIterator() {
+    return (this.speeds == null) ? null : this.speeds.iterator();
+  }
+
+  public void addToSpeeds(WireSpeed elem) {
+    if (this.speeds == null) {
+      this.speeds = new java.util.ArrayList<WireSpeed>();
+    }
+    this.speeds.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WireSpeed> getSpeeds() {
+    return this.speeds;
+  }
+
+  public WireSiteLoad setSpeeds(@org.apache.thrift.annotation.Nullable java.util.List<WireSpeed> speeds) {
+    this.speeds = speeds;
+    return this;
+  }
+
+  public void unsetSpeeds() {
+    this.speeds = null;
+  }
+
+  /** Returns true if field speeds is set (has been assigned a value) and false otherwise */
+  public boolean isSetSpeeds() {
+    return this.speeds != null;
+  }
+
+  public void setSpeedsIsSet(boolean value) {
+    if (!value) {
+      this.speeds = null;
+    }
+  }
+
   public int getAnswersSize() {
     return (this.answers == null) ? 0 : this.answers.size();
   }
@@ -423,6 +537,22 @@
       }
       break;
 
+    case QUEUED:
+      if (value == null) {
+        unsetQueued();
+      } else {
+        setQueued((java.util.List<WireDemand>)value);
+      }
+      break;
+
+    case SPEEDS:
+      if (value == null) {
+        unsetSpeeds();
+      } else {
+        setSpeeds((java.util.List<WireSpeed>)value);
+      }
+      break;
+
     case ANSWERS:
       if (value == null) {
         unsetAnswers();
@@ -450,6 +580,12 @@
     case LEAVING:
       return getLeaving();
 
+    case QUEUED:
+      return getQueued();
+
+    case SPEEDS:
+      return getSpeeds();
+
     case ANSWERS:
       return getAnswers();
 
@@ -473,6 +609,10 @@
       return isSetPrompts();
     case LEAVING:
       return isSetLeaving();
+    case QUEUED:
+      return isSetQueued();
+    case SPEEDS:
+      return isSetSpeeds();
     case ANSWERS:
       return isSetAnswers();
     }
@@ -528,6 +668,24 @@
         return false;
     }
 
+    boolean this_present_queued = true && this.isSetQueued();
+    boolean that_present_queued = true && that.isSetQueued();
+    if (this_present_queued || that_present_queued) {
+      if (!(this_present_queued && that_present_queued))
+        return false;
+      if (!this.queued.equals(that.queued))
+        return false;
+    }
+
+    boolean this_present_speeds = true && this.isSetSpeeds();
+    boolean that_present_speeds = true && that.isSetSpeeds();
+    if (this_present_speeds || that_present_speeds) {
+      if (!(this_present_speeds && that_present_speeds))
+        return false;
+      if (!this.speeds.equals(that.speeds))
+        return false;
+    }
+
     boolean this_present_answers = true && this.isSetAnswers();
     boolean that_present_answers = true && that.isSetAnswers();
     if (this_present_answers || that_present_answers) {
@@ -560,6 +718,14 @@
     if (isSetLeaving())
       hashCode = hashCode * 8191 + leaving.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetQueued()) ? 131071 : 524287);
+    if (isSetQueued())
+      hashCode = hashCode * 8191 + queued.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetSpeeds()) ? 131071 : 524287);
+    if (isSetSpeeds())
+      hashCode = hashCode * 8191 + speeds.hashCode();
+
     hashCode = hashCode * 8191 + ((isSetAnswers()) ? 131071 : 524287);
     if (isSetAnswers())
       hashCode = hashCode * 8191 + answers.hashCode();
@@ -615,6 +781,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetQueued(), other.isSetQueued());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQueued()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.queued, other.queued);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSpeeds(), other.isSetSpeeds());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSpeeds()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.speeds, other.speeds);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetAnswers(), other.isSetAnswers());
     if (lastComparison != 0) {
       return lastComparison;
@@ -684,6 +870,26 @@
       }
       first = false;
     }
+    if (isSetQueued()) {
+      if (!first) sb.append(", ");
+      sb.append("queued:");
+      if (this.queued == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.queued);
+      }
+      first = false;
+    }
+    if (isSetSpeeds()) {
+      if (!first) sb.append(", ");
+      sb.append("speeds:");
+      if (this.speeds == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.speeds);
+      }
+      first = false;
+    }
     if (isSetAnswers()) {
       if (!first) sb.append(", ");
       sb.append("answers:");
@@ -816,17 +1022,55 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 22: // ANSWERS
+          case 20: // QUEUED
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list95 = iprot.readListBegin();
-                struct.answers = new java.util.ArrayList<WireAnswerCounts>(_list95.size);
-                @org.apache.thrift.annotation.Nullable WireAnswerCounts _elem96;
+                struct.queued = new java.util.ArrayList<WireDemand>(_list95.size);
+                @org.apache.thrift.annotation.Nullable WireDemand _elem96;
                 for (int _i97 = 0; _i97 < _list95.size; ++_i97)
                 {
-                  _elem96 = new WireAnswerCounts();
+                  _elem96 = new WireDemand();
                   _elem96.read(iprot);
-                  struct.answers.add(_elem96);
+                  struct.queued.add(_elem96);
+                }
+                iprot.readListEnd();
+              }
+              struct.setQueuedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 21: // SPEEDS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list98 = iprot.readListBegin();
+                struct.speeds = new java.util.ArrayList<WireSpeed>(_list98.size);
+                @org.apache.thrift.annotation.Nullable WireSpeed _elem99;
+                for (int _i100 = 0; _i100 < _list98.size; ++_i100)
+                {
+                  _elem99 = new WireSpeed();
+                  _elem99.read(iprot);
+                  struct.speeds.add(_elem99);
+                }
+                iprot.readListEnd();
+              }
+              struct.setSpeedsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 22: // ANSWERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list101 = iprot.readListBegin();
+                struct.answers = new java.util.ArrayList<WireAnswerCounts>(_list101.size);
+                @org.apache.thrift.annotation.Nullable WireAnswerCounts _elem102;
+                for (int _i103 = 0; _i103 < _list101.size; ++_i103)
+                {
+                  _elem102 = new WireAnswerCounts();
+                  _elem102.read(iprot);
+                  struct.answers.add(_elem102);
                 }
                 iprot.readListEnd();
               }
@@ -855,9 +1099,9 @@
         oprot.writeFieldBegin(USES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.uses.size()));
-          for (WireUpstreamUse _iter98 : struct.uses)
+          for (WireUpstreamUse _iter104 : struct.uses)
           {
-            _iter98.write(oprot);
+            _iter104.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -867,10 +1111,10 @@
         oprot.writeFieldBegin(SPENT_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE, struct.spent.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter99 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter105 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter99.getKey());
-            oprot.writeDouble(_iter99.getValue());
+            oprot.writeString(_iter105.getKey());
+            oprot.writeDouble(_iter105.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -881,9 +1125,9 @@
           oprot.writeFieldBegin(PROMPTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.prompts.size()));
-            for (WirePromptEvidence _iter100 : struct.prompts)
+            for (WirePromptEvidence _iter106 : struct.prompts)
             {
-              _iter100.write(oprot);
+              _iter106.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -895,9 +1139,37 @@
           oprot.writeFieldBegin(LEAVING_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.leaving.size()));
-            for (WireUpstreamStart _iter101 : struct.leaving)
+            for (WireUpstreamStart _iter107 : struct.leaving)
             {
-              _iter101.write(oprot);
+              _iter107.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.queued != null) {
+        if (struct.isSetQueued()) {
+          oprot.writeFieldBegin(QUEUED_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.queued.size()));
+            for (WireDemand _iter108 : struct.queued)
+            {
+              _iter108.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.speeds != null) {
+        if (struct.isSetSpeeds()) {
+          oprot.writeFieldBegin(SPEEDS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.speeds.size()));
+            for (WireSpeed _iter109 : struct.speeds)
+            {
+              _iter109.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -909,9 +1181,9 @@
           oprot.writeFieldBegin(ANSWERS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.answers.size()));
-            for (WireAnswerCounts _iter102 : struct.answers)
+            for (WireAnswerCounts _iter110 : struct.answers)
             {
-              _iter102.write(oprot);
+              _iter110.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -949,53 +1221,77 @@
       if (struct.isSetLeaving()) {
         optionals.set(3);
       }
-      if (struct.isSetAnswers()) {
+      if (struct.isSetQueued()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetSpeeds()) {
+        optionals.set(5);
+      }
+      if (struct.isSetAnswers()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetUses()) {
         {
           oprot.writeI32(struct.uses.size());
-          for (WireUpstreamUse _iter103 : struct.uses)
+          for (WireUpstreamUse _iter111 : struct.uses)
           {
-            _iter103.write(oprot);
+            _iter111.write(oprot);
           }
         }
       }
       if (struct.isSetSpent()) {
         {
           oprot.writeI32(struct.spent.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter104 : struct.spent.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Double> _iter112 : struct.spent.entrySet())
           {
-            oprot.writeString(_iter104.getKey());
-            oprot.writeDouble(_iter104.getValue());
+            oprot.writeString(_iter112.getKey());
+            oprot.writeDouble(_iter112.getValue());
           }
         }
       }
       if (struct.isSetPrompts()) {
         {
           oprot.writeI32(struct.prompts.size());
-          for (WirePromptEvidence _iter105 : struct.prompts)
+          for (WirePromptEvidence _iter113 : struct.prompts)
           {
-            _iter105.write(oprot);
+            _iter113.write(oprot);
           }
         }
       }
       if (struct.isSetLeaving()) {
         {
           oprot.writeI32(struct.leaving.size());
-          for (WireUpstreamStart _iter106 : struct.leaving)
+          for (WireUpstreamStart _iter114 : struct.leaving)
+          {
+            _iter114.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetQueued()) {
+        {
+          oprot.writeI32(struct.queued.size());
+          for (WireDemand _iter115 : struct.queued)
           {
-            _iter106.write(oprot);
+            _iter115.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetSpeeds()) {
+        {
+          oprot.writeI32(struct.speeds.size());
+          for (WireSpeed _iter116 : struct.speeds)
+          {
+            _iter116.write(oprot);
           }
         }
       }
       if (struct.isSetAnswers()) {
         {
           oprot.writeI32(struct.answers.size());
-          for (WireAnswerCounts _iter107 : struct.answers)
+          for (WireAnswerCounts _iter117 : struct.answers)
           {
-            _iter107.write(oprot);
+            _iter117.write(oprot);
           }
         }
       }
@@ -1004,74 +1300,102 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireSiteLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list108 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list108.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem109;
-          for (int _i110 = 0; _i110 < _list108.size; ++_i110)
+          org.apache.thrift.protocol.TList _list118 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.uses = new java.util.ArrayList<WireUpstreamUse>(_list118.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamUse _elem119;
+          for (int _i120 = 0; _i120 < _list118.size; ++_i120)
           {
-            _elem109 = new WireUpstreamUse();
-            _elem109.read(iprot);
-            struct.uses.add(_elem109);
+            _elem119 = new WireUpstreamUse();
+            _elem119.read(iprot);
+            struct.uses.add(_elem119);
           }
         }
         struct.setUsesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TMap _map111 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
-          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map111.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key112;
-          double _val113;
-          for (int _i114 = 0; _i114 < _map111.size; ++_i114)
+          org.apache.thrift.protocol.TMap _map121 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.DOUBLE); 
+          struct.spent = new java.util.HashMap<java.lang.String,java.lang.Double>(2*_map121.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key122;
+          double _val123;
+          for (int _i124 = 0; _i124 < _map121.size; ++_i124)
           {
-            _key112 = iprot.readString();
-            _val113 = iprot.readDouble();
-            struct.spent.put(_key112, _val113);
+            _key122 = iprot.readString();
+            _val123 = iprot.readDouble();
+            struct.spent.put(_key122, _val123);
           }
         }
         struct.setSpentIsSet(true);
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list115 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list115.size);
-          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem116;
-          for (int _i117 = 0; _i117 < _list115.size; ++_i117)
+          org.apache.thrift.protocol.TList _list125 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.prompts = new java.util.ArrayList<WirePromptEvidence>(_list125.size);
+          @org.apache.thrift.annotation.Nullable WirePromptEvidence _elem126;
+          for (int _i127 = 0; _i127 < _list125.size; ++_i127)
           {
-            _elem116 = new WirePromptEvidence();
-            _elem116.read(iprot);
-            struct.prompts.add(_elem116);
+            _elem126 = new WirePromptEvidence();
+            _elem126.read(iprot);
+            struct.prompts.add(_elem126);
           }
         }
         struct.setPromptsIsSet(true);
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list118 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list118.size);
-          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem119;
-          for (int _i120 = 0; _i120 < _list118.size; ++_i120)
+          org.apache.thrift.protocol.TList _list128 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.leaving = new java.util.ArrayList<WireUpstreamStart>(_list128.size);
+          @org.apache.thrift.annotation.Nullable WireUpstreamStart _elem129;
+          for (int _i130 = 0; _i130 < _list128.size; ++_i130)
           {
-            _elem119 = new WireUpstreamStart();
-            _elem119.read(iprot);
-            struct.leaving.add(_elem119);
+            _elem129 = new WireUpstreamStart();
+            _elem129.read(iprot);
+            struct.leaving.add(_elem129);
           }
         }
         struct.setLeavingIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list121 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.answers = new java.util.ArrayList<WireAnswerCounts>(_list121.size);
-          @org.apache.thrift.annotation.Nullable WireAnswerCounts _elem122;
-          for (int _i123 = 0; _i123 < _list121.size; ++_i123)
+          org.apache.thrift.protocol.TList _list131 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.queued = new java.util.ArrayList<WireDemand>(_list131.size);
+          @org.apache.thrift.annotation.Nullable WireDemand _elem132;
+          for (int _i133 = 0; _i133 < _list131.size; ++_i133)
+          {
+            _elem132 = new WireDemand();
+            _elem132.read(iprot);
+            struct.queued.add(_elem132);
+          }
+        }
+        struct.setQueuedIsSet(true);
+      }
+      if (incoming.get(5)) {
+        {
+          org.apache.thrift.protocol.TList _list134 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.speeds = new java.util.ArrayList<WireSpeed>(_list134.size);
+          @org.apache.thrift.annotation.Nullable WireSpeed _elem135;
+          for (int _i136 = 0; _i136 < _list134.size; ++_i136)
+          {
+            _elem135 = new WireSpeed();
+            _elem135.read(iprot);
+            struct.speeds.add(_elem135);
+          }
+        }
+        struct.setSpeedsIsSet(true);
+      }
+      if (incoming.get(6)) {
+        {
+          org.apache.thrift.protocol.TList _list137 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.answers = new java.util.ArrayList<WireAnswerCounts>(_list137.size);
+          @org.apache.thrift.annotation.Nullable WireAnswerCounts _elem138;
+          for (int _i139 = 0; _i139 < _list137.size; ++_i139)
           {
-            _elem122 = new WireAnswerCounts();
-            _elem122.read(iprot);
-            struct.answers.add(_elem122);
+            _elem138 = new WireAnswerCounts();
+            _elem138.read(iprot);
+            struct.answers.add(_elem138);
           }
         }
         struct.setAnswersIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WireStoreUpdate.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireStoreUpdate.java
@@ -672,14 +672,14 @@
           case 5: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list132 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<WireStoreChange>(_list132.size);
-                @org.apache.thrift.annotation.Nullable WireStoreChange _elem133;
-                for (int _i134 = 0; _i134 < _list132.size; ++_i134)
+                org.apache.thrift.protocol.TList _list148 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<WireStoreChange>(_list148.size);
+                @org.apache.thrift.annotation.Nullable WireStoreChange _elem149;
+                for (int _i150 = 0; _i150 < _list148.size; ++_i150)
                 {
-                  _elem133 = new WireStoreChange();
-                  _elem133.read(iprot);
-                  struct.changes.add(_elem133);
+                  _elem149 = new WireStoreChange();
+                  _elem149.read(iprot);
+                  struct.changes.add(_elem149);
                 }
                 iprot.readListEnd();
               }
@@ -720,9 +720,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (WireStoreChange _iter135 : struct.changes)
+          for (WireStoreChange _iter151 : struct.changes)
           {
-            _iter135.write(oprot);
+            _iter151.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -778,9 +778,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (WireStoreChange _iter136 : struct.changes)
+          for (WireStoreChange _iter152 : struct.changes)
           {
-            _iter136.write(oprot);
+            _iter152.write(oprot);
           }
         }
       }
@@ -808,14 +808,14 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list137 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<WireStoreChange>(_list137.size);
-          @org.apache.thrift.annotation.Nullable WireStoreChange _elem138;
-          for (int _i139 = 0; _i139 < _list137.size; ++_i139)
+          org.apache.thrift.protocol.TList _list153 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<WireStoreChange>(_list153.size);
+          @org.apache.thrift.annotation.Nullable WireStoreChange _elem154;
+          for (int _i155 = 0; _i155 < _list153.size; ++_i155)
           {
-            _elem138 = new WireStoreChange();
-            _elem138.read(iprot);
-            struct.changes.add(_elem138);
+            _elem154 = new WireStoreChange();
+            _elem154.read(iprot);
+            struct.changes.add(_elem154);
           }
         }
         struct.setChangesIsSet(true);
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -154,6 +154,24 @@
   4: optional i64 servedAgeMilliseconds
 }
 
+struct WireDemand {
+  1: string serviceName
+  2: i32 urgency
+  3: i32 queued
+  4: i64 queuedTokens
+  5: i64 arrivedTokens
+  6: i64 releasedTokens
+}
+
+struct WireSpeed {
+  1: string upstream
+  2: i64 startedAtMilliseconds
+  3: i8 kind
+  4: i64 samples
+  5: double weight
+  6: double logSum
+}
+
 struct WireAnswerCounts {
   1: string serviceName
   2: i64 order
@@ -170,6 +188,8 @@
   2: map<string, double> spent
   3: optional list<WirePromptEvidence> prompts
   4: optional list<WireUpstreamStart> leaving
+  20: optional list<WireDemand> queued
+  21: optional list<WireSpeed> speeds
   22: optional list<WireAnswerCounts> answers
 }
 
