--- a/src/test/java/org/lacewingstep/controller/UnevenLoadTest.java
+++ b/src/test/java/org/lacewingstep/controller/UnevenLoadTest.java
@@ -196,7 +196,13 @@
                 .forEach(name ->
                         uses.put(name, site.board().serving().loads().of(name).running()));
         final PeerMessage.SiteLoad load = new PeerMessage.SiteLoad(
-                uses, Map.of(), Map.of(), Set.of(), Map.of(), UpstreamSpeeds.reported(site.board(), site.now()));
+                uses,
+                Map.of(),
+                Map.of(),
+                Set.of(),
+                Map.of(),
+                UpstreamSpeeds.reported(site.board(), site.now()),
+                Map.of());
         after(500, () -> {
             for (int other = 0; other < INSTANCES; other++) {
                 if (other != index) {
