Report fewer measured speeds

The merging of reports took processor time on sites with many instances: 16 sums for two seconds from each instance.

--- a/src/main/java/org/lacewingstep/controller/KeptPromptBelief.java
+++ b/src/main/java/org/lacewingstep/controller/KeptPromptBelief.java
@@ -5,7 +5,6 @@
 
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallSection.Call;
-import org.lacewingstep.blackboard.RegistrySection.Entry;
 import org.lacewingstep.domain.KeptPrompts;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RequestIdentifier;
@@ -91,10 +90,10 @@
     }
 
     private static boolean hasPrefillUpstreams(final Blackboard board, final RegisteredUpstream upstream) {
-        return board.serving().registry().upstreams().values().stream()
-                .map(Entry::upstream)
-                .anyMatch(other ->
-                        other.role() == UpstreamRole.PREFILL && other.service().equals(upstream.service()));
+        return !board.serving()
+                .registry()
+                .pool(upstream.service(), UpstreamRole.PREFILL)
+                .isEmpty();
     }
 
     /**
--- a/src/main/java/org/lacewingstep/controller/UpstreamSpeeds.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamSpeeds.java
@@ -7,6 +7,7 @@
 import java.util.stream.Collectors;
 
 import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.SiteSection;
 import org.lacewingstep.blackboard.SpeedSection.ServiceWork;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.SpeedKey;
@@ -19,10 +20,10 @@
 /** Reads the measured speeds of upstreams from the blackboard. */
 final class UpstreamSpeeds {
     /** Most sums in one report. */
-    static final int MAX_REPORTED = 16;
+    static final int MAX_REPORTED = 8;
 
-    /** Time for which a sum is reported after its last sample, so that one lost report is made up for. */
-    private static final Duration REPORT_PERIOD = Duration.ofSeconds(2);
+    /** Time for which a sum is reported after its last sample; the next sample makes up for a lost report. */
+    private static final Duration REPORT_PERIOD = SiteSection.BROADCAST_INTERVAL;
 
     private UpstreamSpeeds() {}
 
