Bound the bodies that a process keeps by its own memory

Cause: bodies were bounded one by one only. 28 uploads of 4 MB filled the direct memory of the process; each further read then blocked the event loop for half a second, and nobody was answered for seconds. A request to an upstream was copied to direct memory whole.

Change: one budget of a quarter of the heap for the bodies of requests until they are answered and for collected responses. A body of a stated length reserves all of it before it is read, one without is counted as it arrives; a body without room is refused at once with a time of return. The last fifth of the budget is left to small bodies. Bodies are collected on the heap and sent to upstreams in slices of 64 KB. Gauge bodies.bytes, counter bodies.refused.

--- a/src/main/java/org/lacewingstep/command/PlatformProcess.java
+++ b/src/main/java/org/lacewingstep/command/PlatformProcess.java
@@ -30,6 +30,7 @@
 import org.lacewingstep.traffic.OpenCalls;
 import org.lacewingstep.traffic.OperatorHandlers;
 import org.lacewingstep.traffic.UnexpectedErrors;
+import org.lacewingstep.upstream.BufferBudget;
 import org.lacewingstep.upstream.UpstreamPools;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -128,9 +129,11 @@
         // The watch starts first: until its handler is installed, SIGHUP would terminate the process.
         settingsWatch.start();
         logContracts();
+        final BufferBudget budget = BufferBudget.ofProcess();
+        metrics.gauge("bodies.bytes", () -> budget::reservedBytes);
         final OpenCalls openCalls = new OpenCalls(
                 new PlatformProtocol(),
-                new UpstreamPools(TransportDetector.getSocketChannelImpl()),
+                new UpstreamPools(TransportDetector.getSocketChannelImpl(), budget),
                 clock::now,
                 control::post,
                 () -> !control.board().lifecycle().isReady(),
@@ -156,7 +159,7 @@
         peers.start();
         control.start(new Event.SiteConfigured(settings.policy(), settings.firstStart()));
         callerServer = startServer(
-                settings.callerAddress(), chain -> chain.all(new CallHandler(openCalls, this::maxBodyBytes)));
+                settings.callerAddress(), chain -> chain.all(new CallHandler(openCalls, this::maxBodyBytes, budget)));
         final OperatorHandlers operatorHandlers = new OperatorHandlers(control::board, metrics);
         readyServer = startServer(settings.readyAddress(), operatorHandlers);
         metricsServer = startServer(new PeerAddress(settings.callerAddress().host(), metricsPort), operatorHandlers);
--- a/src/main/java/org/lacewingstep/command/StandaloneProcess.java
+++ b/src/main/java/org/lacewingstep/command/StandaloneProcess.java
@@ -28,6 +28,7 @@
 import org.lacewingstep.traffic.PlainHandler;
 import org.lacewingstep.traffic.TrafficLimits;
 import org.lacewingstep.traffic.UnexpectedErrors;
+import org.lacewingstep.upstream.BufferBudget;
 import org.lacewingstep.upstream.EngineClient;
 import org.lacewingstep.upstream.UpstreamAdapter;
 import org.lacewingstep.upstream.UpstreamPools;
@@ -138,7 +139,8 @@
                 settings.bytesPerToken(),
                 settings.callerIdleTimeout(),
                 timeLimit.multipliedBy(2));
-        final UpstreamPools pools = new UpstreamPools(TransportDetector.getSocketChannelImpl());
+        final UpstreamPools pools =
+                new UpstreamPools(TransportDetector.getSocketChannelImpl(), BufferBudget.ofProcess());
         final OpenRequests openRequests = new OpenRequests(
                 self.incarnation(), instructions, clock::now, timeLimit, this::findUpstream, control::post);
         chain.post("v1/completions", new CompletionHandler(openRequests, engineClient, limits))
--- a/src/main/java/org/lacewingstep/traffic/CallHandler.java
+++ b/src/main/java/org/lacewingstep/traffic/CallHandler.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.traffic;
 
+import java.time.Duration;
 import java.util.function.IntSupplier;
 
 import io.netty.channel.Channel;
@@ -8,15 +9,26 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import org.lacewingstep.blackboard.Refusal;
+import org.lacewingstep.error.ErrorCode;
+import org.lacewingstep.upstream.BufferBudget;
 import ratpack.exec.Promise;
 import ratpack.handling.Context;
 import ratpack.handling.Handler;
+import ratpack.http.Request;
+import ratpack.http.RequestBodyTooLargeException;
 import ratpack.http.Response;
 import ratpack.http.Status;
 import ratpack.http.TypedData;
 
 /** Reads calls from callers and writes the responses. */
 public final class CallHandler implements Handler {
+    /** Retry delay sent to a caller whose body finds no room; about the time to pass on a large body. */
+    private static final Duration NO_ROOM_RETRY_AFTER = Duration.ofSeconds(1);
+
+    private static final int TOO_LARGE = 413;
+
+    private final BufferBudget budget;
     private final IntSupplier maxBodyBytes;
     private final OpenCalls openCalls;
 
@@ -25,25 +37,88 @@
      *
      * @param openCalls registers open calls, not null
      * @param maxBodyBytes supplies the largest accepted request body in bytes, not null
+     * @param budget the budget of all bodies in the process, not null
      */
-    public CallHandler(final OpenCalls openCalls, final IntSupplier maxBodyBytes) {
+    public CallHandler(final OpenCalls openCalls, final IntSupplier maxBodyBytes, final BufferBudget budget) {
         this.openCalls = openCalls;
+        this.budget = budget;
         this.maxBodyBytes = maxBodyBytes;
     }
 
     @Override
     public void handle(final Context context) {
-        context.getRequest().getBody(maxBodyBytes.getAsInt()).then(body -> startCall(context, body));
+        final Request request = context.getRequest();
+        final int largest = maxBodyBytes.getAsInt();
+        final long stated = request.getContentLength();
+        final BodyBuffer buffer = openBuffer(context);
+        if (stated > largest || isSmall(request)) {
+            request.getBody(largest).then(body -> startSmallCall(context, buffer, body));
+        } else if (!buffer.reserve((int) Math.max(0, stated))) {
+            refuseForRoom(context);
+        } else {
+            request.getBodyStream(largest)
+                    .reduce(buffer, BodyBuffer::append)
+                    .onError(RequestBodyTooLargeException.class, tooLarge -> context.clientError(TOO_LARGE))
+                    .then(body -> {
+                        if (body.isOverflown()) {
+                            refuseForRoom(context);
+                        } else {
+                            startCall(context, body.toBytes());
+                        }
+                    });
+        }
+    }
+
+    /** Creates a buffer that is closed when the call is answered or its connection is closed. */
+    private BodyBuffer openBuffer(final Context context) {
+        final BodyBuffer buffer = new BodyBuffer(budget);
+        final Channel channel = context.getDirectChannelAccess().getChannel();
+        final ChannelFutureListener closeListener = closed -> buffer.close();
+        channel.closeFuture().addListener(closeListener);
+        context.onClose(outcome -> {
+            channel.closeFuture().removeListener(closeListener);
+            buffer.close();
+        });
+        return buffer;
+    }
+
+    private static boolean isSmall(final Request request) {
+        return request.getContentLength() <= BufferBudget.SMALL_BYTES
+                && !request.getHeaders().contains(HttpHeaderNames.TRANSFER_ENCODING);
     }
 
-    private void startCall(final Context context, final TypedData body) {
-        final CallerRequest callerRequest = new CallerRequest(
+    private void startSmallCall(final Context context, final BodyBuffer buffer, final TypedData body) {
+        if (buffer.reserve(body.getBuffer().readableBytes())) {
+            startCall(context, body.getBytes());
+        } else {
+            refuseForRoom(context);
+        }
+    }
+
+    /** Refuses a call at once whose body would exceed the bound of all bodies; the body is not read. */
+    private void refuseForRoom(final Context context) {
+        openCalls.metrics().countBodyRefusal();
+        final CallSession session = openCalls.open(
+                callerRequest(context, new byte[0]),
+                context.getDirectChannelAccess().getChannel());
+        context.getResponse().getHeaders().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        Promise.<CallResponse>async(receiver -> session.refuse(
+                        receiver,
+                        new Refusal(ErrorCode.NO_CAPACITY, "no memory is free for the body", NO_ROOM_RETRY_AFTER)))
+                .then(callResponse -> writeResponse(context, callResponse));
+    }
+
+    private static CallerRequest callerRequest(final Context context, final byte[] body) {
+        return new CallerRequest(
                 HttpMethod.valueOf(context.getRequest().getMethod().getName()),
                 context.getRequest().getRawUri(),
                 context.getRequest().getHeaders().getNettyHeaders(),
-                body.getBytes());
+                body);
+    }
+
+    private void startCall(final Context context, final byte[] body) {
         final Channel channel = context.getDirectChannelAccess().getChannel();
-        final CallSession session = openCalls.open(callerRequest, channel);
+        final CallSession session = openCalls.open(callerRequest(context, body), channel);
         final ChannelFutureListener disconnectListener = closed -> session.abandon();
         channel.closeFuture().addListener(disconnectListener);
         context.onClose(outcome -> channel.closeFuture().removeListener(disconnectListener));
--- a/src/main/java/org/lacewingstep/traffic/CallMetrics.java
+++ b/src/main/java/org/lacewingstep/traffic/CallMetrics.java
@@ -33,6 +33,11 @@
         registry.timer("calls.first_event").update(latency);
     }
 
+    /** Counts a call that was refused because no memory was free for its body. */
+    public void countBodyRefusal() {
+        registry.counter("bodies.refused").inc();
+    }
+
     /** Counts a failed request to an upstream. */
     public void countUpstreamFailure() {
         registry.counter("upstreams.failed").inc();
--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -131,6 +131,17 @@
         openCalls.post(new Event.CallArrived(openCalls.protocol().decodeRequest(request, callerRequest, receivedAt)));
     }
 
+    /**
+     * Refuses the call without posting it to the control thread.
+     *
+     * @param receiver receives the response to the caller, not null
+     * @param refusal the response, not null
+     */
+    void refuse(final Downstream<? super CallResponse> receiver, final Refusal refusal) {
+        responseReceiver = receiver;
+        respondWithError(RequestFailure.notRun(refusal));
+    }
+
     private void execute(final CallInstruction instruction) {
         if (ended) {
             return;
--- a/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
@@ -4,14 +4,17 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -40,6 +43,9 @@
     /** Bytes of bodies of skipped responses in an exchange. */
     private static final int MAX_SKIPPED_BYTES = 64 * 1024;
 
+    /** Bytes of a request's body that are written at once. */
+    private static final int BODY_SLICE_BYTES = 64 * 1024;
+
     private static final Logger LOGGER = LoggerFactory.getLogger(UpstreamConnection.class);
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
 
@@ -48,6 +54,7 @@
     private final UpstreamPool pool;
 
     private UpstreamExchange currentExchange;
+    private boolean bodyWritten;
     private boolean headReceived;
     private Duration idleLimit = DEFAULT_IDLE_LIMIT;
     private boolean reset;
@@ -92,25 +99,45 @@
         skippingResponse = false;
         channel.config().setAutoRead(true);
         final ExchangeRequest request = exchange.request();
-        final FullHttpRequest message = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, request.method(), request.uri(), Unpooled.wrappedBuffer(request.body()));
+        final HttpRequest message = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
         message.headers().set(request.headers());
         if (request.body().length > 0 || HttpMethod.POST.equals(request.method())) {
             HttpUtil.setContentLength(message, request.body().length);
         }
         reusable = reusable && HttpUtil.isKeepAlive(message);
+        bodyWritten = false;
         exchange.attach(this);
         if (!channel.isActive()) {
-            message.release();
             currentExchange = null;
             exchange.report(new ExchangeEvent.Failed(false, false, "the connection was closed before use"));
             return;
         }
-        channel.writeAndFlush(message).addListener(written -> {
-            if (!written.isSuccess()) {
-                fail(false, "the request was not written: " + written.cause().getMessage());
-            }
-        });
+        channel.write(message);
+        writeBody(exchange, 0);
+    }
+
+    /** Writes the body in slices, one after the other, as each is copied to direct memory until it is sent. */
+    private void writeBody(final UpstreamExchange exchange, final int offset) {
+        final byte[] body = exchange.request().body();
+        final int length = Math.min(BODY_SLICE_BYTES, body.length - offset);
+        final ByteBuf slice = Unpooled.wrappedBuffer(body, offset, length);
+        final boolean last = offset + length == body.length;
+        channel.writeAndFlush(last ? new DefaultLastHttpContent(slice) : new DefaultHttpContent(slice))
+                .addListener(written -> {
+                    if (currentExchange != exchange) {
+                        return;
+                    }
+                    if (!written.isSuccess()) {
+                        fail(
+                                false,
+                                "the request was not written: "
+                                        + written.cause().getMessage());
+                    } else if (last) {
+                        bodyWritten = true;
+                    } else {
+                        writeBody(exchange, offset + length);
+                    }
+                });
     }
 
     /** Closes the connection. */
@@ -270,7 +297,7 @@
             channel.close();
             return;
         }
-        if (reusable && !exchange.hasEnded() && channel.isActive()) {
+        if (reusable && bodyWritten && !exchange.hasEnded() && channel.isActive()) {
             channel.config().setAutoRead(true);
             pool.release(this);
         } else {
--- a/src/main/java/org/lacewingstep/upstream/UpstreamExchange.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamExchange.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
@@ -16,13 +15,10 @@
     /** Longest response that is collected before it is passed on, in bytes. */
     private static final long MAX_BYTES_OF_RESPONSE = 4 * 1024 * 1024;
 
-    /** Bytes of all responses that are being collected; a fraction of the heap of the smallest instance. */
-    private static final long MAX_BYTES_OF_ALL_RESPONSES = 16 * 1024 * 1024;
-
     /** Interval of the reports of a response that makes no progress, after its retry timeout. */
     private static final long STALL_REPORT_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    private final AtomicLong bufferedBytes;
+    private final BufferBudget budget;
     private final Consumer<ExchangeEvent> listener;
     private final EventLoop loop;
     private final ExchangeRequest request;
@@ -41,14 +37,14 @@
      * @param loop the event loop, not null
      * @param request the request, not null
      * @param listener receives the events of the exchange, not null
-     * @param bufferedBytes the bytes of all responses that are being collected, not null
+     * @param budget the budget of all bodies in the process, not null
      */
     UpstreamExchange(
             final EventLoop loop,
             final ExchangeRequest request,
             final Consumer<ExchangeEvent> listener,
-            final AtomicLong bufferedBytes) {
-        this.bufferedBytes = bufferedBytes;
+            final BufferBudget budget) {
+        this.budget = budget;
         this.loop = loop;
         this.request = request;
         this.listener = listener;
@@ -108,12 +104,14 @@
      * Counts bytes that are kept until the response is complete.
      *
      * @param bytes the number of bytes
-     * @return false if this response or all responses together are longer than permitted
+     * @return false if this response or all bodies together are longer than permitted
      */
     boolean countBufferedBytes(final int bytes) {
+        if (ownBufferedBytes + bytes > maxBufferedBytes() || !budget.reserve(bytes)) {
+            return false;
+        }
         ownBufferedBytes += bytes;
-        final long all = bufferedBytes.addAndGet(bytes);
-        return ownBufferedBytes <= maxBufferedBytes() && all <= MAX_BYTES_OF_ALL_RESPONSES;
+        return true;
     }
 
     private long maxBufferedBytes() {
@@ -177,7 +175,7 @@
 
     private void end() {
         ended = true;
-        bufferedBytes.addAndGet(-ownBufferedBytes);
+        budget.release(ownBufferedBytes);
         ownBufferedBytes = 0;
         if (timeoutCheck != null) {
             timeoutCheck.cancel(false);
--- a/src/main/java/org/lacewingstep/upstream/UpstreamPool.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamPool.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
@@ -33,7 +32,7 @@
     private static final int MAX_STATUS_LINE_BYTES = 16 * 1024;
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
-    private final AtomicLong bufferedBytes;
+    private final BufferBudget budget;
     private final Class<? extends SocketChannel> channelType;
     private final Map<PeerAddress, Deque<IdleConnection>> idleConnections = new HashMap<>();
     private final EventLoop loop;
@@ -44,11 +43,11 @@
      *
      * @param loop the event loop, not null
      * @param channelType the channel type that the event loop supports, not null
-     * @param bufferedBytes counts the bytes of all responses that are being collected, shared by all pools, not null
+     * @param budget the budget of all bodies in the process, not null
      */
     public UpstreamPool(
-            final EventLoop loop, final Class<? extends SocketChannel> channelType, final AtomicLong bufferedBytes) {
-        this.bufferedBytes = bufferedBytes;
+            final EventLoop loop, final Class<? extends SocketChannel> channelType, final BufferBudget budget) {
+        this.budget = budget;
         this.loop = loop;
         this.channelType = channelType;
     }
@@ -62,7 +61,7 @@
      * @return the exchange, never null
      */
     public UpstreamExchange send(final ExchangeRequest request, final Consumer<ExchangeEvent> listener) {
-        final UpstreamExchange exchange = new UpstreamExchange(loop, request, listener, bufferedBytes);
+        final UpstreamExchange exchange = new UpstreamExchange(loop, request, listener, budget);
         final UpstreamConnection reused = pollIdle(request.address());
         if (reused != null) {
             reused.begin(exchange);
