--- a/src/main/java/org/lacewingstep/traffic/CallHandler.java
+++ b/src/main/java/org/lacewingstep/traffic/CallHandler.java
@@ -54,14 +54,14 @@
         if (stated > largest || isSmall(request)) {
             request.getBody(largest).then(body -> startSmallCall(context, buffer, body));
         } else if (!buffer.reserve((int) Math.max(0, stated))) {
-            refuseForRoom(context);
+            refuseForRoom(context).then(refusal -> UnreadBody.answer(context, refusal, largest));
         } else {
             request.getBodyStream(largest)
                     .reduce(buffer, BodyBuffer::append)
                     .onError(RequestBodyTooLargeException.class, tooLarge -> context.clientError(TOO_LARGE))
                     .then(body -> {
                         if (body.isOverflown()) {
-                            refuseForRoom(context);
+                            refuseForRoom(context).then(refusal -> writeResponse(context, refusal));
                         } else {
                             startCall(context, body.toBytes());
                         }
@@ -91,21 +91,18 @@
         if (buffer.reserve(body.getBuffer().readableBytes())) {
             startCall(context, body.getBytes());
         } else {
-            refuseForRoom(context);
+            refuseForRoom(context).then(refusal -> writeResponse(context, refusal));
         }
     }
 
-    /** Refuses a call at once whose body would exceed the bound of all bodies; the body is not read. */
-    private void refuseForRoom(final Context context) {
+    /** Refuses a call whose body exceeds the bound of all bodies. */
+    private Promise<CallResponse> refuseForRoom(final Context context) {
         openCalls.metrics().countBodyRefusal();
         final CallSession session = openCalls.open(
                 callerRequest(context, new byte[0]),
                 context.getDirectChannelAccess().getChannel());
-        context.getResponse().getHeaders().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        Promise.<CallResponse>async(receiver -> session.refuse(
-                        receiver,
-                        new Refusal(ErrorCode.NO_CAPACITY, "no memory is free for the body", NO_ROOM_RETRY_AFTER)))
-                .then(callResponse -> writeResponse(context, callResponse));
+        return Promise.async(receiver -> session.refuse(
+                receiver, new Refusal(ErrorCode.NO_CAPACITY, "no memory is free for the body", NO_ROOM_RETRY_AFTER)));
     }
 
     private static CallerRequest callerRequest(final Context context, final byte[] body) {
