--- a/src/main/java/org/lacewingstep/blackboard/CallSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/CallSection.java
@@ -27,12 +27,17 @@
  * @param passages the recent arrivals and ends of calls to services whose calls differ in urgency, oldest first, not
  *     null
  * @param demand what the other instances reported of such calls, not null
+ * @param reserves the memory that calls leave free for more urgent ones, by service and urgency, not null
  */
-public record CallSection(PMap<RequestIdentifier, Call> calls, PVector<Passage> passages, SiteDemand demand)
+public record CallSection(
+        PMap<RequestIdentifier, Call> calls,
+        PVector<Passage> passages,
+        SiteDemand demand,
+        PMap<ServiceUrgency, Reserve> reserves)
         implements ServingSection {
     /** The initial section of a process. */
     public static final CallSection INITIAL =
-            new CallSection(HashTreePMap.empty(), TreePVector.empty(), SiteDemand.NONE);
+            new CallSection(HashTreePMap.empty(), TreePVector.empty(), SiteDemand.NONE, HashTreePMap.empty());
 
     /** Period over which arrivals and ends are counted; short enough to follow a burst. */
     public static final Duration PASSAGE_PERIOD = Duration.ofSeconds(2);
@@ -53,7 +58,7 @@
      * @return the updated section, never null
      */
     public CallSection withCalls(final PMap<RequestIdentifier, Call> next) {
-        return new CallSection(next, passages, demand);
+        return new CallSection(next, passages, demand, reserves);
     }
 
     /**
@@ -68,7 +73,7 @@
         while (!next.isEmpty() && next.getFirst().at().isBefore(oldest)) {
             next = next.minus(0);
         }
-        return new CallSection(calls, next.plus(passage), demand);
+        return new CallSection(calls, next.plus(passage), demand, reserves);
     }
 
     /**
@@ -78,7 +83,38 @@
      * @return the updated section, never null
      */
     public CallSection withDemand(final SiteDemand next) {
-        return new CallSection(calls, passages, next);
+        return new CallSection(calls, passages, next, reserves);
+    }
+
+    /**
+     * Replaces the memory that calls leave free.
+     *
+     * @param next the reserves by service and urgency, not null
+     * @return the updated section, never null
+     */
+    public CallSection withReserves(final PMap<ServiceUrgency, Reserve> next) {
+        return new CallSection(calls, passages, demand, next);
+    }
+
+    /**
+     * Returns the memory that a call of an urgency leaves free.
+     *
+     * @param urgency the service and the urgency, not null
+     * @return the reserve, never null
+     */
+    public Reserve reserve(final ServiceUrgency urgency) {
+        return reserves.getOrDefault(urgency, Reserve.NONE);
+    }
+
+    /**
+     * The part of the memory of a service that calls of one urgency leave free.
+     *
+     * @param onTime the part that a call leaves free which can still be on time, from 0 to 1
+     * @param late the part that a call leaves free which cannot, from 0 to 1
+     */
+    public record Reserve(double onTime, double late) {
+        /** Nothing is left free. */
+        public static final Reserve NONE = new Reserve(0, 0);
     }
 
     /**
--- a/src/main/java/org/lacewingstep/controller/CallController.java
+++ b/src/main/java/org/lacewingstep/controller/CallController.java
@@ -33,6 +33,7 @@
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
 import org.lacewingstep.placement.QueueOrder;
+import org.pcollections.HashTreePMap;
 import org.pcollections.TreePVector;
 
 /** Manages calls from arrival to completion: admission, placement at upstreams, retries and deadlines. */
@@ -86,7 +87,7 @@
                                 .calls()
                                 .demand()
                                 .withReport(sender.instance(), new SiteDemand.DemandReport(now, load.queued()))));
-            case Event.TimerFired(TimerKey.LoadBroadcast()) -> dropSilentPeers(board, now);
+            case Event.TimerFired(TimerKey.LoadBroadcast()) -> refreshDemand(board, now);
             case Event.ClockJumped jumped -> Outcome.of(withoutPassages(board));
             case Event.QueuedCallsDue(List<RequestIdentifier> requests) -> placeFirst(board, requests, now);
             default -> unchanged(board);
@@ -151,17 +152,18 @@
                 : served;
     }
 
-    /** Drops the demand of instances that are cut off or have ended, with whose calls nothing competes any more. */
-    private static Outcome<CallSection> dropSilentPeers(final Blackboard board, final Instant now) {
+    /** Drops the demand of instances that are cut off or have ended, and computes what calls leave free. */
+    private static Outcome<CallSection> refreshDemand(final Blackboard board, final Instant now) {
         final CallSection section = board.serving().calls();
         final SiteDemand demand = section.demand()
                 .withoutOlderThan(now.minus(board.serving().site().peerTimeout()));
-        return Outcome.of(demand == section.demand() ? section : section.withDemand(demand));
+        final CallSection current = demand == section.demand() ? section : section.withDemand(demand);
+        return Outcome.of(current.withReserves(DemandReports.reserves(board, current, now)));
     }
 
     private static CallSection withoutPassages(final Blackboard board) {
         final CallSection section = board.serving().calls();
-        return new CallSection(section.calls(), TreePVector.empty(), SiteDemand.NONE);
+        return new CallSection(section.calls(), TreePVector.empty(), SiteDemand.NONE, HashTreePMap.empty());
     }
 
     private static Outcome<CallSection> serveQueue(
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -223,6 +223,14 @@
                     builder,
                     new Refusal(ErrorCode.NO_CAPACITY, "all upstreams leave or have asked for a pause", delay.get()));
         }
+        final Optional<Duration> forecastDelay = QueueForecast.refusalDelay(board, call, until, now);
+        if (forecastDelay.isPresent()) {
+            return refuse(
+                    board,
+                    call,
+                    builder,
+                    new Refusal(ErrorCode.NO_CAPACITY, "no upstream will be free in time", forecastDelay.get()));
+        }
         builder.add(new Effect.StartTimer(new TimerKey.CallQueue(call.service()), now.plus(QUEUE_POLL_INTERVAL)));
         return builder.outcome(CallController.with(board.serving().calls(), call));
     }
--- a/src/main/java/org/lacewingstep/controller/DemandReports.java
+++ b/src/main/java/org/lacewingstep/controller/DemandReports.java
@@ -10,11 +10,16 @@
 import org.lacewingstep.blackboard.CallSection.Call;
 import org.lacewingstep.blackboard.CallSection.CallPhase;
 import org.lacewingstep.blackboard.CallSection.Passage;
+import org.lacewingstep.blackboard.CallSection.Reserve;
 import org.lacewingstep.domain.Demand;
 import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.ServiceUrgency;
+import org.lacewingstep.domain.UpstreamRole;
 import org.lacewingstep.domain.Urgency;
 import org.lacewingstep.placement.ServiceDemand;
+import org.lacewingstep.placement.UrgentReserve;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
 
 /** Sums the calls that ask for memory, at this instance for its reports and at all instances for decisions. */
 final class DemandReports {
@@ -117,19 +122,74 @@
      * @return the demand, never null
      */
     static ServiceDemand site(final Blackboard board, final ServiceName service, final Instant now) {
+        return site(own(board, now), board.serving().calls(), service);
+    }
+
+    private static ServiceDemand site(
+            final Map<ServiceUrgency, Demand> own, final CallSection section, final ServiceName service) {
         final Map<Urgency, Demand> sums = new HashMap<>();
-        add(sums, own(board, now), service);
-        add(sums, board.serving().calls().demand().totals(), service);
+        add(sums, own, service);
+        add(sums, section.demand().totals(), service);
         return new ServiceDemand(sums, CallSection.PASSAGE_PERIOD);
     }
 
+    /**
+     * Computes the memory that calls of each urgency leave free.
+     *
+     * @param board the blackboard, not null
+     * @param section the section with the latest demand, not null
+     * @param now the present time, not null
+     * @return the reserves by service and urgency, never null
+     */
+    static PMap<ServiceUrgency, Reserve> reserves(
+            final Blackboard board, final CallSection section, final Instant now) {
+        PMap<ServiceUrgency, Reserve> reserves = HashTreePMap.empty();
+        final Map<ServiceUrgency, Demand> own = own(board, now);
+        for (final ServiceName service : board.serving().routing().table().ranked()) {
+            final long memory = memoryTokens(board, service);
+            if (memory == 0) {
+                continue;
+            }
+            final ServiceDemand demand = site(own, section, service);
+            final long siteMemory = memory * engines(board, service);
+            for (int rank = 0; rank <= Urgency.LAST_RANK; rank++) {
+                final Urgency urgency = new Urgency(rank);
+                reserves = reserves.plus(
+                        new ServiceUrgency(service, urgency),
+                        new Reserve(
+                                reserve(board, demand, urgency, true, memory, siteMemory),
+                                reserve(board, demand, urgency, false, memory, siteMemory)));
+            }
+        }
+        return reserves;
+    }
+
+    private static double reserve(
+            final Blackboard board,
+            final ServiceDemand demand,
+            final Urgency urgency,
+            final boolean onTime,
+            final long memory,
+            final long siteMemory) {
+        return UrgentReserve.fraction(
+                demand, urgency, onTime, memory / UpstreamRoom.TYPICAL_CALL_DIVISOR, reportDelay(board), siteMemory);
+    }
+
+    private static long engines(final Blackboard board, final ServiceName service) {
+        return board.serving().registry().upstreams().values().stream()
+                .filter(entry -> entry.upstream().role() == UpstreamRole.DECODE
+                        && entry.upstream().service().equals(service)
+                        && !entry.upstream().draining())
+                .count();
+    }
+
     /**
      * Returns the age of what other instances have reported.
      *
      * @param board the blackboard, not null
      * @return the longest time from a change to the arrival of its report, never null
      */
-    static Duration reportDelay(final Blackboard board) {
+    private static Duration reportDelay(final Blackboard board) {
         final Duration delay = board.serving().site().broadcastDelay();
         return board.serving().site().isRelayed() ? delay.multipliedBy(2) : delay;
     }
--- a/src/main/java/org/lacewingstep/controller/ReservationRequest.java
+++ b/src/main/java/org/lacewingstep/controller/ReservationRequest.java
@@ -55,8 +55,13 @@
                 new CallInstruction.Reserve(upstream, reservedTokens(call), lifetime, connectionLimit(board, call)));
     }
 
-    /** Computes the memory to reserve: the prompt has to fit at once, the output grows while other requests end. */
-    private static long reservedTokens(final Call call) {
+    /**
+     * Computes the memory to reserve: the prompt has to fit at once, the output grows while other requests end.
+     *
+     * @param call the call, not null
+     * @return the memory in tokens, zero if the caller gave no token counts
+     */
+    static long reservedTokens(final Call call) {
         return call.parameters()
                 .tokens()
                 .map(size -> size.prompt() + (long) (size.output() * RESERVED_OUTPUT_FRACTION))
--- a/src/main/java/org/lacewingstep/controller/UpstreamRoom.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamRoom.java
@@ -4,11 +4,13 @@
 
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallSection.Call;
+import org.lacewingstep.blackboard.CallSection.Reserve;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.ServiceLimits;
+import org.lacewingstep.domain.ServiceUrgency;
 import org.lacewingstep.domain.UpstreamRole;
 import org.lacewingstep.domain.UpstreamUse;
-import org.lacewingstep.placement.UrgentReserve;
+import org.lacewingstep.domain.Urgency;
 
 /** Decides whether an upstream has room for a call: memory of an engine, and the rate that a cold upstream bears. */
 final class UpstreamRoom {
@@ -22,7 +24,7 @@
      * Divisor of an engine's memory that yields the memory of a typical call. A larger call requires no more free
      * memory than a typical one, since small calls would otherwise always be placed before the large call.
      */
-    private static final int TYPICAL_CALL_DIVISOR = 8;
+    static final int TYPICAL_CALL_DIVISOR = 8;
 
     /**
      * Fraction of the rate that a cold upstream bears up to which a warm one receives requests without a share or turn:
@@ -57,31 +59,28 @@
             return true;
         }
         final long requiredTokens = Math.min(call.tokens(), service.memoryTokens() / TYPICAL_CALL_DIVISOR);
-        return use.tokens() + requiredTokens <= service.memoryTokens() * overcommit(board, call, service, now);
+        return use.tokens() + requiredTokens <= service.memoryTokens() * overcommit(board, call, now);
     }
 
-    private static double overcommit(
-            final Blackboard board, final Call call, final ServiceLimits service, final Instant now) {
+    private static double overcommit(final Blackboard board, final Call call, final Instant now) {
         final boolean onTime = CallTiming.canMeetLatencyTarget(call, now);
+        final double limit = onTime ? MEMORY_OVERCOMMIT : LATE_MEMORY_OVERCOMMIT;
         if (!DemandReports.isCounted(board, call.service())) {
-            return onTime ? MEMORY_OVERCOMMIT : LATE_MEMORY_OVERCOMMIT;
+            return limit;
         }
-        final double reserve = UrgentReserve.fraction(
-                DemandReports.site(board, call.service(), now),
-                call.urgency().after(CallTiming.waited(call, now), call.route().latencyTarget()),
-                onTime,
-                service.memoryTokens() / TYPICAL_CALL_DIVISOR,
-                DemandReports.reportDelay(board),
-                service.memoryTokens() * engines(board, call));
-        return MEMORY_OVERCOMMIT * (1 - reserve);
+        final Urgency urgency =
+                call.urgency().after(CallTiming.waited(call, now), call.route().latencyTarget());
+        final Reserve reserve = board.serving().calls().reserve(new ServiceUrgency(call.service(), urgency));
+        final double admitted = admittedOvercommit(call);
+        return onTime
+                ? Math.min(limit, reserve.onTime() > 0 ? admitted * (1 - reserve.onTime()) : limit)
+                : Math.min(limit, admitted * (1 - reserve.late()));
     }
 
-    private static long engines(final Blackboard board, final Call call) {
-        return board.serving().registry().upstreams().values().stream()
-                .filter(entry -> entry.upstream().role() == UpstreamRole.DECODE
-                        && entry.upstream().service().equals(call.service())
-                        && !entry.upstream().draining())
-                .count();
+    /** Computes how far predicted final sizes exceed what engines reserve: the prompt and a part of the output. */
+    private static double admittedOvercommit(final Call call) {
+        final long reserved = ReservationRequest.reservedTokens(call);
+        return reserved == 0 ? 1 : call.tokens() / (double) reserved;
     }
 
     /**
