--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -131,12 +131,7 @@
         openCalls.post(new Event.CallArrived(openCalls.protocol().decodeRequest(request, callerRequest, receivedAt)));
     }
 
-    /**
-     * Refuses the call without posting it to the control thread.
-     *
-     * @param receiver receives the response to the caller, not null
-     * @param refusal the response, not null
-     */
+    /** Refuses the call without posting it to the control thread; the receiver gets the response. */
     void refuse(final Downstream<? super CallResponse> receiver, final Refusal refusal) {
         responseReceiver = receiver;
         respondWithError(RequestFailure.notRun(refusal));
