Rank calls by the priority of their team and then of their route

Cause: the priority of a team took the place of its route's, and each team of the deployments in force has one, so that all routes were equally urgent. Change: Precedence compares the team's priority and then the route's; the urgency of a call is the position among the precedences of its service, which also is what engines get.

--- a/src/main/java/org/lacewingstep/controller/CallAdmission.java
+++ b/src/main/java/org/lacewingstep/controller/CallAdmission.java
@@ -18,10 +18,10 @@
 import org.lacewingstep.domain.RegionName;
 import org.lacewingstep.domain.Route;
 import org.lacewingstep.domain.RoutingTable;
+import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.TokenDemand;
-import org.lacewingstep.domain.Urgency;
 import org.lacewingstep.error.ErrorCode;
 
 /** Decides whether a call is admitted, by its route, its key and the rate limit of its team. */
@@ -119,13 +119,8 @@
                     : notReady("the routing table may be out of date");
         }
         if (route.get().open()) {
-            return new AdmissionDecision.Admitted(createCall(
-                    parameters,
-                    route.get(),
-                    Optional.empty(),
-                    Set.of(),
-                    route.get().urgency(),
-                    0));
+            return new AdmissionDecision.Admitted(
+                    createCall(table, parameters, route.get(), Optional.empty(), Set.of(), 0));
         }
         if (!confirmed) {
             return notReady("keys may have been withdrawn");
@@ -174,31 +169,32 @@
                             Input.of("rate", Math.round(bucket.get().unitsPerSecond()))));
         }
         return new AdmissionDecision.Admitted(createCall(
+                board.serving().routing().table(),
                 parameters,
                 route,
                 Optional.of(team),
                 allowance == null ? Set.of() : allowance.allowedRegions(),
-                allowance == null ? route.urgency() : allowance.urgency().orElse(route.urgency()),
                 units));
     }
 
     private static Call createCall(
+            final RoutingTable table,
             final CallParameters parameters,
             final Route route,
             final Optional<TeamName> team,
             final Set<RegionName> teamRegions,
-            final Urgency urgency,
             final long units) {
+        final ServiceName service = route.chooseService(parameters.request());
         final Duration limit =
                 parameters.waitLimit().compareTo(route.timeLimit()) < 0 ? parameters.waitLimit() : route.timeLimit();
         final Instant deadline = parameters.receivedAt().plus(limit);
         return new Call(
                 parameters,
                 route,
-                route.chooseService(parameters.request()),
+                service,
                 team,
                 teamRegions,
-                urgency,
+                table.urgency(service, route, team),
                 units,
                 deadline,
                 0,
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -346,7 +346,7 @@
                 retryTimeout(call, attempt, SILENCE_TIMEOUT, now),
                 call.route().kind() instanceof RouteKind.EventStream,
                 ReservationRequest.connectionLimit(board, call),
-                board.serving().routing().table().ranked().contains(call.service())
+                board.serving().routing().table().isRanked(call.service())
                         ? Optional.of(call.urgency())
                         : Optional.empty());
     }
--- a/src/main/java/org/lacewingstep/controller/DemandReports.java
+++ b/src/main/java/org/lacewingstep/controller/DemandReports.java
@@ -33,7 +33,7 @@
      * @return true if demand for the service is counted
      */
     static boolean isCounted(final Blackboard board, final ServiceName service) {
-        return board.serving().routing().table().ranked().contains(service) && memoryTokens(board, service) > 0;
+        return board.serving().routing().table().isRanked(service) && memoryTokens(board, service) > 0;
     }
 
     /**
@@ -145,7 +145,8 @@
             final Blackboard board, final CallSection section, final Instant now) {
         PMap<ServiceUrgency, Reserve> reserves = HashTreePMap.empty();
         final Map<ServiceUrgency, Demand> own = own(board, now);
-        for (final ServiceName service : board.serving().routing().table().ranked()) {
+        for (final ServiceName service :
+                board.serving().routing().table().ranked().keySet()) {
             final long memory = memoryTokens(board, service);
             if (memory == 0) {
                 continue;
--- a/src/main/java/org/lacewingstep/domain/Route.java
+++ b/src/main/java/org/lacewingstep/domain/Route.java
@@ -20,7 +20,7 @@
  * @param open whether callers may omit the key
  * @param targets the services that share the requests of the route, at least one
  * @param allowedRegions the regions in which requests of the route may run, empty for all regions
- * @param urgency how urgent requests of the route are unless their team has an urgency of its own, not null
+ * @param priority how urgent requests of the route are among those of equally urgent teams, 0 for the most urgent
  */
 public record Route(
         String name,
@@ -33,7 +33,7 @@
         boolean open,
         List<RouteTarget> targets,
         Set<RegionName> allowedRegions,
-        Urgency urgency) {
+        int priority) {
     private static final int HASH_RANGE = 1 << 20;
 
     /** Validates the components and copies the collections. */
@@ -48,11 +48,10 @@
         targets = List.copyOf(targets);
         Validate.isTrue(!targets.isEmpty(), "targets", "one or more");
         allowedRegions = Set.copyOf(allowedRegions);
-        Validate.notNull(urgency, "urgency");
     }
 
     /**
-     * Creates a route without an urgency of its own.
+     * Creates a route without a priority of its own.
      *
      * @param name the name of the route, not blank
      * @param host the host name in the requests, not null
@@ -87,7 +86,7 @@
                 open,
                 targets,
                 allowedRegions,
-                Urgency.DEFAULT);
+                Precedence.DEFAULT_PRIORITY);
     }
 
     /**
--- a/src/main/java/org/lacewingstep/domain/RoutingTable.java
+++ b/src/main/java/org/lacewingstep/domain/RoutingTable.java
@@ -1,13 +1,15 @@
 package org.lacewingstep.domain;
 
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 
 import org.lacewingstep.error.Validate;
@@ -21,7 +23,8 @@
  * @param teams the teams by name, not null
  * @param keys the team of each key, by the digest of the key, not null
  * @param limits the limits of requests from callers, not null
- * @param ranked the services whose calls differ in urgency, not null
+ * @param ranked the different precedences of calls to each service, the most urgent first; a service is absent if its
+ *     calls do not differ, not null
  */
 public record RoutingTable(
         long version,
@@ -30,7 +33,7 @@
         Map<TeamName, TeamAllowance> teams,
         Map<KeyDigest, TeamName> keys,
         CallerLimits limits,
-        Set<ServiceName> ranked) {
+        Map<ServiceName, List<Precedence>> ranked) {
     /** The empty table that is in force until the first one is read. */
     public static final RoutingTable EMPTY =
             new RoutingTable(-1, Map.of(), Map.of(), Map.of(), Map.of(), CallerLimits.DEFAULT);
@@ -42,7 +45,7 @@
         teams = Map.copyOf(teams);
         keys = Map.copyOf(keys);
         Validate.notNull(limits, "limits");
-        ranked = Set.copyOf(ranked);
+        ranked = Map.copyOf(ranked);
     }
 
     /**
@@ -65,30 +68,54 @@
         this(version, routes, services, teams, keys, limits, findRanked(routes, teams));
     }
 
-    private static Set<ServiceName> findRanked(
+    private static Map<ServiceName, List<Precedence>> findRanked(
             final Map<String, List<Route>> routes, final Map<TeamName, TeamAllowance> teams) {
-        final Set<Urgency> teamUrgencies =
-                teams.values().stream().flatMap(team -> team.urgency().stream()).collect(Collectors.toSet());
-        final boolean routesCount =
-                teams.values().stream().anyMatch(team -> team.urgency().isEmpty());
-        final Map<ServiceName, Set<Urgency>> urgencies = new HashMap<>();
+        final Set<Integer> teamPriorities =
+                teams.values().stream().map(TeamAllowance::priority).collect(Collectors.toSet());
+        final Map<ServiceName, SortedSet<Precedence>> found = new HashMap<>();
         for (final List<Route> ofHost : routes.values()) {
             for (final Route route : ofHost) {
+                final Set<Integer> callers = route.open() ? Set.of(Precedence.DEFAULT_PRIORITY) : teamPriorities;
                 for (final RouteTarget target : route.targets()) {
-                    final Set<Urgency> known = urgencies.computeIfAbsent(target.service(), name -> new HashSet<>());
-                    if (routesCount || route.open()) {
-                        known.add(route.urgency());
-                    }
-                    if (!route.open()) {
-                        known.addAll(teamUrgencies);
-                    }
+                    final Set<Precedence> known = found.computeIfAbsent(target.service(), name -> new TreeSet<>());
+                    callers.forEach(team -> known.add(new Precedence(team, route.priority())));
                 }
             }
         }
-        return urgencies.entrySet().stream()
+        return found.entrySet().stream()
                 .filter(entry -> entry.getValue().size() > 1)
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toUnmodifiableSet());
+                .collect(Collectors.toMap(Map.Entry::getKey, entry -> List.copyOf(entry.getValue())));
+    }
+
+    /**
+     * Returns whether the calls of a service differ in urgency.
+     *
+     * @param service the service, not null
+     * @return true if some calls precede others
+     */
+    public boolean isRanked(final ServiceName service) {
+        return ranked.containsKey(service);
+    }
+
+    /**
+     * Finds the urgency of a call: the position of its precedence among those of the service.
+     *
+     * @param service the service that the call is sent to, not null
+     * @param route the route of the call, not null
+     * @param team the caller's team, empty on an open route
+     * @return the urgency, {@link Urgency#DEFAULT} if the calls of the service do not differ, never null
+     */
+    public Urgency urgency(final ServiceName service, final Route route, final Optional<TeamName> team) {
+        final List<Precedence> levels = ranked.getOrDefault(service, List.of());
+        if (levels.isEmpty()) {
+            return Urgency.DEFAULT;
+        }
+        final int teamPriority =
+                team.map(teams::get).map(TeamAllowance::priority).orElse(Precedence.DEFAULT_PRIORITY);
+        final int found = Collections.binarySearch(levels, new Precedence(teamPriority, route.priority()));
+        final int position = found < 0 ? -found - 1 : found;
+        final int last = Math.max(Urgency.LAST_RANK, levels.size() - 1);
+        return Urgency.nearest((long) position * Urgency.LAST_RANK / last);
     }
 
     /**
--- a/src/main/java/org/lacewingstep/domain/TeamAllowance.java
+++ b/src/main/java/org/lacewingstep/domain/TeamAllowance.java
@@ -1,6 +1,5 @@
 package org.lacewingstep.domain;
 
-import java.util.Optional;
 import java.util.Set;
 
 import org.lacewingstep.error.Validate;
@@ -14,7 +13,7 @@
  * @param countsTokens whether the units of a request are its tokens; otherwise a request counts as one unit
  * @param plainUnits units of a request that states no number of tokens, zero or more
  * @param allowedRegions the regions in which requests of the team may run, empty for all regions
- * @param urgency how urgent the requests of the team are on each route, empty for the urgency of the route, not null
+ * @param priority how urgent the requests of the team are among those of all teams, 0 for the most urgent
  */
 public record TeamAllowance(
         TeamName team,
@@ -23,7 +22,7 @@
         boolean countsTokens,
         long plainUnits,
         Set<RegionName> allowedRegions,
-        Optional<Urgency> urgency) {
+        int priority) {
     /** Validates the components. */
     public TeamAllowance {
         Validate.notNull(team, "team");
@@ -31,11 +30,10 @@
         Validate.isTrue(burst >= 0, "burst", "zero or more");
         Validate.notNegative(plainUnits, "plain units");
         allowedRegions = Set.copyOf(allowedRegions);
-        Validate.notNull(urgency, "urgency");
     }
 
     /**
-     * Creates the limits of a team whose requests are as urgent as their routes.
+     * Creates the limits of a team without a priority of its own.
      *
      * @param team the team, not null
      * @param unitsPerSecond the rate in units per second; there is no limit if the rate and the burst are both zero
@@ -51,7 +49,7 @@
             final boolean countsTokens,
             final long plainUnits,
             final Set<RegionName> allowedRegions) {
-        this(team, unitsPerSecond, burst, countsTokens, plainUnits, allowedRegions, Optional.empty());
+        this(team, unitsPerSecond, burst, countsTokens, plainUnits, allowedRegions, Precedence.DEFAULT_PRIORITY);
     }
 
     /**
--- a/src/main/java/org/lacewingstep/platform/RoutingDocumentCodec.java
+++ b/src/main/java/org/lacewingstep/platform/RoutingDocumentCodec.java
@@ -6,12 +6,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.lacewingstep.domain.CallerLimits;
 import org.lacewingstep.domain.KeyDigest;
+import org.lacewingstep.domain.Precedence;
 import org.lacewingstep.domain.RegionName;
 import org.lacewingstep.domain.Route;
 import org.lacewingstep.domain.RouteKind;
@@ -21,7 +21,6 @@
 import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
-import org.lacewingstep.domain.Urgency;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
 
@@ -75,7 +74,7 @@
                 node.path("anonymous").asBoolean(),
                 targets(node),
                 regions(node),
-                urgency(node).orElse(Urgency.DEFAULT));
+                priority(node));
     }
 
     private static RouteKind kind(final JsonNode node) {
@@ -125,12 +124,11 @@
                 "token_stream".equals(node.path("unit").asText()),
                 node.path("plainTokens").asLong(),
                 regions(node),
-                urgency(node));
+                priority(node));
     }
 
-    private static Optional<Urgency> urgency(final JsonNode node) {
-        final JsonNode value = node.path("priority");
-        return value.isNumber() ? Optional.of(Urgency.nearest(value.asLong())) : Optional.empty();
+    private static int priority(final JsonNode node) {
+        return node.path("priority").asInt(Precedence.DEFAULT_PRIORITY);
     }
 
     private static CallerLimits limits(final JsonNode node) {
--- a/src/test/java/org/lacewingstep/domain/RoutingTableTest.java
+++ b/src/test/java/org/lacewingstep/domain/RoutingTableTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
@@ -39,6 +40,46 @@
         assertThat(newServiceCount).isCloseTo(1000, within(150));
     }
 
+    @Test
+    void urgencyFollowsTheTeamAndThenTheRoute() {
+        final TeamName urgent = new TeamName("urgent");
+        final TeamName other = new TeamName("other");
+        final Route first = route("/a/", 0);
+        final Route second = route("/b/", 2);
+        final RoutingTable table = new RoutingTable(
+                1,
+                RoutingTable.byHost(List.of(first, second)),
+                Map.of(),
+                Map.of(urgent, allowance(urgent, 0), other, allowance(other, 1)),
+                Map.of(),
+                CallerLimits.DEFAULT);
+
+        assertThat(table.urgency(OLD, first, Optional.of(urgent)).rank()).isZero();
+        assertThat(table.urgency(OLD, second, Optional.of(urgent)).rank()).isEqualTo(1);
+        assertThat(table.urgency(OLD, first, Optional.of(other)).rank()).isEqualTo(2);
+        assertThat(table.urgency(OLD, second, Optional.of(other)).rank()).isEqualTo(3);
+        assertThat(table.urgency(NEW, second, Optional.of(other))).isEqualTo(Urgency.DEFAULT);
+    }
+
+    private static TeamAllowance allowance(final TeamName team, final int priority) {
+        return new TeamAllowance(team, 0, 0, true, 1, Set.of(), priority);
+    }
+
+    private static Route route(final String prefix, final int priority) {
+        return new Route(
+                "route",
+                "host.example",
+                prefix,
+                new RouteKind.Idempotent(),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
+                1,
+                false,
+                List.of(new RouteTarget(OLD, 1)),
+                Set.of(),
+                priority);
+    }
+
     private static RoutingTable table(final Route... routes) {
         return new RoutingTable(
                 1, RoutingTable.byHost(List.of(routes)), Map.of(), Map.of(), Map.of(), CallerLimits.DEFAULT);
