--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -222,11 +222,7 @@
      */
     record SiteConfigured(SitePolicy policy, boolean firstStart) implements Event {}
 
-    /**
-     * The settings were reloaded.
-     *
-     * @param policy the policy of the site, not null
-     */
+    /** The settings were reloaded, with the policy of the site. */
     record SiteReloaded(SitePolicy policy) implements Event {}
 
     /**
@@ -353,6 +349,9 @@
     /** A response announced that its upstream is shutting down or must not be sent requests for a time. */
     record UpstreamNoticeReceived(UpstreamNotice notice) implements Event {}
 
+    /** An upstream has finished work whose duration was measured. */
+    record WorkMeasured(WorkMeasurement measurement) implements Event {}
+
     /**
      * An upstream has sent nothing for longer than usual; the attempt continues.
      *
@@ -378,20 +377,16 @@
      */
     record UpstreamReleased(UpstreamName upstream, long tokens, Optional<CallResult> result) implements Event {}
 
-    /**
-     * A call spends units of its team's rate limit.
-     *
-     * @param team the team, not null
-     * @param units the number of units
-     */
-    record AllowanceSpent(TeamName team, long units) implements Event {}
-
     /** The other instances need a report of this instance soon. */
     record LoadReportRequested() implements Event {}
 
-    /** A call is being sent to an upstream for the first time. */
-    record FirstSend() implements Event {}
+    /**
+     * A call changes what is left of a limit.
+     *
+     * @param change the change, not null
+     */
+    record AllowanceChanged(AllowanceChange change) implements Event {}
 
-    /** A call is being sent to an upstream again, as a retry. */
-    record RetrySend() implements Event {}
+    /** Something happened that concerns the rollouts of versions. */
+    record RolloutAdvanced(RolloutOccurrence occurrence) implements Event {}
 }
--- a/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
@@ -18,7 +18,8 @@
  * @param roles the planned roles of engines and how full the engines are, not null
  * @param relay what this instance passes on between the store and other instances, not null
  * @param prompts the parts of prompts that are suspected of crashing upstreams, not null
- * @param notices what upstreams have announced in their responses, not null
+ * @param rollouts the rollouts that are ordered or have ended, not null
+ * @param learned what this instance has learned about upstreams, not null
  */
 public record ServingBoard(
         SiteSection site,
@@ -30,7 +31,8 @@
         RoleSection roles,
         RelaySection relay,
         PromptSection prompts,
-        UpstreamNoticeSection notices) {
+        RolloutSection rollouts,
+        LearnedBoard learned) {
     /** The initial sections of a process. */
     public static final ServingBoard INITIAL = new ServingBoard(
             SiteSection.INITIAL,
@@ -42,7 +44,8 @@
             RoleSection.INITIAL,
             RelaySection.INITIAL,
             PromptSection.INITIAL,
-            UpstreamNoticeSection.INITIAL);
+            RolloutSection.INITIAL,
+            LearnedBoard.INITIAL);
 
     /** Checks that every section is present. */
     public ServingBoard {
@@ -55,7 +58,8 @@
         Validate.notNull(roles, "roles");
         Validate.notNull(relay, "relay");
         Validate.notNull(prompts, "prompts");
-        Validate.notNull(notices, "notices");
+        Validate.notNull(rollouts, "rollouts");
+        Validate.notNull(learned, "learned");
     }
 
     /**
@@ -67,28 +71,59 @@
     public ServingBoard with(final ServingSection section) {
         return switch (section) {
             case SiteSection next ->
-                new ServingBoard(next, routing, registry, allowances, loads, calls, roles, relay, prompts, notices);
+                new ServingBoard(
+                        next, routing, registry, allowances, loads, calls, roles, relay, prompts, rollouts, learned);
             case RoutingSection next ->
-                new ServingBoard(site, next, registry, allowances, loads, calls, roles, relay, prompts, notices);
+                new ServingBoard(
+                        site, next, registry, allowances, loads, calls, roles, relay, prompts, rollouts, learned);
             case RegistrySection next ->
-                new ServingBoard(site, routing, next, allowances, loads, calls, roles, relay, prompts, notices);
+                new ServingBoard(
+                        site, routing, next, allowances, loads, calls, roles, relay, prompts, rollouts, learned);
             case AllowanceSection next ->
-                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts, notices);
+                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts, rollouts, learned);
             case UpstreamLoadSection next ->
-                new ServingBoard(site, routing, registry, allowances, next, calls, roles, relay, prompts, notices);
-            case RelaySection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, next, prompts, notices);
+                new ServingBoard(
+                        site, routing, registry, allowances, next, calls, roles, relay, prompts, rollouts, learned);
+            case CallSection next ->
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, next, roles, relay, prompts, rollouts, learned);
             case RoleSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, next, relay, prompts, notices);
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, next, relay, prompts, rollouts, learned);
+            case RelaySection next ->
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, roles, next, prompts, rollouts, learned);
             case PromptSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, relay, next, notices);
-            case UpstreamNoticeSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, calls, roles, relay, prompts, next);
-            case CallSection next ->
-                new ServingBoard(site, routing, registry, allowances, loads, next, roles, relay, prompts, notices);
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, roles, relay, next, rollouts, learned);
+            case RolloutSection next ->
+                new ServingBoard(
+                        site, routing, registry, allowances, loads, calls, roles, relay, prompts, next, learned);
+            case LearnedSection next ->
+                new ServingBoard(
+                        site,
+                        routing,
+                        registry,
+                        allowances,
+                        loads,
+                        calls,
+                        roles,
+                        relay,
+                        prompts,
+                        rollouts,
+                        learned.with(next));
         };
     }
 
+    /**
+     * Returns what upstreams have announced in their responses.
+     *
+     * @return the section, never null
+     */
+    public UpstreamNoticeSection notices() {
+        return learned.notices();
+    }
+
     /**
      * Computes the use of an upstream by this instance and by all instances that are not cut off.
      *
--- a/src/main/java/org/lacewingstep/blackboard/SiteSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/SiteSection.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.blackboard;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 
@@ -15,11 +16,16 @@
  *
  * @param policy the policy of the site, empty if this process does not serve calls by the platform's registry
  * @param firstStart whether the whole site started together with this process
- * @param present the instances whose lease is in the store, including this one, not null
+ * @param present the instances that share the limits of the site, including this one, not null
+ * @param unlisted the instances among them that the store no longer lists, and since when, not null
  * @param lease the identifier of the lease under which this instance is registered, zero for none
  */
 public record SiteSection(
-        Optional<SitePolicy> policy, boolean firstStart, PMap<InstanceName, Member> present, long lease)
+        Optional<SitePolicy> policy,
+        boolean firstStart,
+        PMap<InstanceName, Member> present,
+        PMap<InstanceName, Instant> unlisted,
+        long lease)
         implements ServingSection {
     /** Minimum time for which changes are collected before a report to the other instances. */
     private static final Duration MIN_BROADCAST_DELAY = Duration.ofMillis(50);
@@ -32,11 +38,18 @@
     /** Time for which changes are collected before a report on a site with relays, and its longest interval. */
     private static final Duration RELAYED_BROADCAST_DELAY = Duration.ofMillis(500);
 
+    /** Usual time until all instances know of a notable change, by a report without the usual delay. */
+    private static final Duration REPORT_DELAY = Duration.ofMillis(80);
+
+    /** The same on a site with relays: three waits for changes that are sent together, and the way. */
+    private static final Duration RELAYED_REPORT_DELAY = Duration.ofMillis(300);
+
     /** Most instances that each read the store and report to each other; larger sites have relays. */
     private static final int MAX_INSTANCES_WITHOUT_RELAYS = 16;
 
     /** The initial section of a process. */
-    public static final SiteSection INITIAL = new SiteSection(Optional.empty(), false, HashTreePMap.empty(), 0);
+    public static final SiteSection INITIAL =
+            new SiteSection(Optional.empty(), false, HashTreePMap.empty(), HashTreePMap.empty(), 0);
 
     /**
      * Counts the instances that share the limits of the site.
@@ -75,6 +88,24 @@
         return isRelayed() ? RELAYED_BROADCAST_DELAY : MIN_BROADCAST_DELAY;
     }
 
+    /**
+     * Returns the delay after which a notable change is reported or passed on, without the delay of other changes.
+     *
+     * @return the delay, never null
+     */
+    public Duration shortDelay() {
+        return MIN_BROADCAST_DELAY;
+    }
+
+    /**
+     * Returns the usual time until all instances know of a notable change at one of them.
+     *
+     * @return the time, never null
+     */
+    public Duration reportDelay() {
+        return isRelayed() ? RELAYED_REPORT_DELAY : REPORT_DELAY;
+    }
+
     /**
      * Computes the time without a report after which an instance counts as cut off.
      *
--- a/src/main/java/org/lacewingstep/blackboard/UpstreamNoticeSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/UpstreamNoticeSection.java
@@ -13,7 +13,7 @@
  *
  * @param announcements the announcements of each start of an upstream, not null
  */
-public record UpstreamNoticeSection(PMap<UpstreamStart, Announcement> announcements) implements ServingSection {
+public record UpstreamNoticeSection(PMap<UpstreamStart, Announcement> announcements) implements LearnedSection {
     /** The initial section of a process. */
     public static final UpstreamNoticeSection INITIAL = new UpstreamNoticeSection(HashTreePMap.empty());
 
--- a/src/main/java/org/lacewingstep/command/PlatformProcess.java
+++ b/src/main/java/org/lacewingstep/command/PlatformProcess.java
@@ -30,6 +30,7 @@
 import org.lacewingstep.traffic.OpenCalls;
 import org.lacewingstep.traffic.OperatorHandlers;
 import org.lacewingstep.traffic.UnexpectedErrors;
+import org.lacewingstep.upstream.BufferBudget;
 import org.lacewingstep.upstream.UpstreamPools;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -128,9 +129,11 @@
         // The watch starts first: until its handler is installed, SIGHUP would terminate the process.
         settingsWatch.start();
         logContracts();
+        final BufferBudget budget = BufferBudget.ofProcess();
+        metrics.gauge("bodies.bytes", () -> budget::reservedBytes);
         final OpenCalls openCalls = new OpenCalls(
                 new PlatformProtocol(),
-                new UpstreamPools(TransportDetector.getSocketChannelImpl()),
+                new UpstreamPools(TransportDetector.getSocketChannelImpl(), budget),
                 clock::now,
                 control::post,
                 () -> !control.board().lifecycle().isReady(),
@@ -146,6 +149,15 @@
         metrics.gauge(
                 "upstreams.paused",
                 () -> () -> control.board().serving().notices().pausedUpstreams(clock.now()));
+        metrics.gauge(
+                "prompts.kept.hits",
+                () -> () -> control.board().serving().learned().keptPrompts().hits());
+        metrics.gauge(
+                "prompts.kept.misbeliefs",
+                () -> () -> control.board().serving().learned().keptPrompts().misbeliefs());
+        metrics.gauge(
+                "prompts.kept.saved_tokens",
+                () -> () -> control.board().serving().learned().keptPrompts().savedTokens());
         dispatcher = new PlatformEffectDispatcher(
                 openCalls,
                 new PlatformStoreAdapter(client, settings.storeAddress(), clock::now, control::post, execController),
@@ -156,7 +168,7 @@
         peers.start();
         control.start(new Event.SiteConfigured(settings.policy(), settings.firstStart()));
         callerServer = startServer(
-                settings.callerAddress(), chain -> chain.all(new CallHandler(openCalls, this::maxBodyBytes)));
+                settings.callerAddress(), chain -> chain.all(new CallHandler(openCalls, this::maxBodyBytes, budget)));
         final OperatorHandlers operatorHandlers = new OperatorHandlers(control::board, metrics);
         readyServer = startServer(settings.readyAddress(), operatorHandlers);
         metricsServer = startServer(new PeerAddress(settings.callerAddress().host(), metricsPort), operatorHandlers);
--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -31,9 +31,12 @@
             new RelayController(),
             new UpstreamLoadController(),
             new UpstreamNoticeController(),
+            new SpeedController(),
+            new KeptPromptController(),
             new AllowanceController(),
             new RoleController(),
             new PromptController(),
+            new RolloutController(),
             new CallController());
 
     private BlackboardStepper() {}
--- a/src/main/java/org/lacewingstep/controller/CallController.java
+++ b/src/main/java/org/lacewingstep/controller/CallController.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.lacewingstep.blackboard.AllowanceChange;
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallInstruction;
 import org.lacewingstep.blackboard.CallParameters;
@@ -125,6 +126,7 @@
             case CallAdmission.AdmissionDecision.Admitted(Call call) -> {
                 final Instant queueDeadline = now.plus(CallPlacement.queueWaitLimit(call, now));
                 builder.add(new Effect.StartTimer(new TimerKey.CallDeadline(parameters.request()), call.deadline()));
+                CallCharge.admit(call, builder);
                 final Outcome<CallSection> placed =
                         CallPlacement.place(board, call.withPhase(new CallPhase.Queued(queueDeadline)), builder, now);
                 yield new Outcome<>(
@@ -247,6 +249,9 @@
                     Input.of("prefill_upstream", prefill.get()),
                     Input.of("result", result))));
         }
+        if (result instanceof CallResult.NotRun(boolean reached) && reached) {
+            builder.add(new Event.AllowanceChanged(new AllowanceChange.UncountedRetry(call.service())));
+        }
         final Call updated = call.with(
                 call.attempts(),
                 call.tried(),
@@ -261,6 +266,7 @@
         CallCompletion.releaseUpstreams(call, Optional.empty(), builder);
         builder.add(new Effect.Log(Decision.on(
                 "answer", call.parameters().request(), "caller left", Input.of("attempts", call.attempts()))));
+        CallCharge.end(call, builder);
         return builder.outcome(without(board.serving().calls(), call));
     }
 
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.lacewingstep.blackboard.AllowanceChange;
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallInstruction;
 import org.lacewingstep.blackboard.CallResult;
@@ -18,6 +19,7 @@
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.Refusal;
+import org.lacewingstep.blackboard.RolloutOccurrence;
 import org.lacewingstep.blackboard.TimerKey;
 import org.lacewingstep.controller.PromptQuarantine.QuarantinedPart;
 import org.lacewingstep.domain.FailureDomainName;
@@ -124,7 +126,9 @@
                     yield AttemptReplacement.send(board, call, stalled, upstream.get(), builder, now);
                 }
                 rejectReservation(board, call, name, result, builder, now);
-                yield builder.outcome(CallController.with(board.serving().calls(), call.withPhase(stalled)));
+                final Call continued = call.withPhase(stalled);
+                CallCharge.move(call, continued, builder);
+                yield builder.outcome(CallController.with(board.serving().calls(), continued));
             }
             case CallPhase.Queued queued -> builder.outcome(board.serving().calls());
             case CallPhase.Sent sent -> builder.outcome(board.serving().calls());
@@ -260,6 +264,7 @@
                 call.mayHaveRun()
                         ? new CallInstruction.Fail(ErrorCode.UPSTREAM_FAILED, refusal.message())
                         : new CallInstruction.Refuse(refusal)));
+        CallCharge.end(call, builder);
         return builder.outcome(CallController.without(board.serving().calls(), call));
     }
 
@@ -283,12 +288,13 @@
         final Optional<RegisteredUpstream> prefill =
                 promptKept ? Optional.empty() : choosePrefill(board, call, upstream, now);
         final int attempt = call.attempts() + 1;
+        builder.add(new Event.RolloutAdvanced(new RolloutOccurrence.AttemptSent(
+                call.parameters().request(), attempt, upstream, call.route().name())));
         prefill.ifPresent(chosen -> builder.add(new Event.UpstreamOccupied(chosen, call.tokens())));
         if (call.tried().isEmpty()) {
-            builder.add(new Event.FirstSend());
-            call.team().ifPresent(team -> builder.add(new Event.AllowanceSpent(team, call.units())));
+            builder.add(new Event.AllowanceChanged(new AllowanceChange.FirstSend(call.service())));
         } else if (attempt > 1) {
-            builder.add(new Event.RetrySend());
+            builder.add(new Event.AllowanceChanged(new AllowanceChange.RetrySent(call.service())));
         }
         builder.add(new Effect.Log(Decision.on(
                 "placement",
@@ -304,6 +310,8 @@
                 Input.of("urgency", call.urgency().rank()),
                 Input.of("version", board.serving().routing().table().version()),
                 Input.of("running", board.serving().use(upstream.name(), now)),
+                Input.of("kept_tokens", (long) KeptPromptBelief.keptTokens(board, call, prefill.orElse(upstream))),
+                Input.of("forecast_wait_ms", UpstreamSpeeds.forecastMillis(board, upstream, now)),
                 Input.of("left_ms", Duration.between(now, call.deadline()).toMillis()))));
         builder.add(new Effect.InstructCall(
                 call.parameters().request(),
@@ -353,10 +361,11 @@
 
     private static Optional<RegisteredUpstream> choosePrefill(
             final Blackboard board, final Call call, final RegisteredUpstream upstream, final Instant now) {
-        if (upstream.role() != UpstreamRole.DECODE || call.attempts() > 0) {
+        if (upstream.role() != UpstreamRole.DECODE || !call.tried().isEmpty()) {
             return Optional.empty();
         }
-        return UpstreamChoice.choose(board, call, Set.of(UpstreamRole.PREFILL), upstream.failureDomain(), now);
+        final Call placed = call.withPhase(new CallPhase.Sent(1, upstream.name(), Optional.empty()));
+        return UpstreamChoice.choose(board, placed, Set.of(UpstreamRole.PREFILL), upstream.failureDomain(), now);
     }
 
     /** Limits the time without progress after which an attempt is replaced to the time that remains. */
--- a/src/main/java/org/lacewingstep/peer/wire/WireLoadDigest.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireLoadDigest.java
@@ -336,14 +336,14 @@
           case 1: // REPORTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list122 = iprot.readListBegin();
-                struct.reports = new java.util.ArrayList<WireLoadReport>(_list122.size);
-                @org.apache.thrift.annotation.Nullable WireLoadReport _elem123;
-                for (int _i124 = 0; _i124 < _list122.size; ++_i124)
+                org.apache.thrift.protocol.TList _list156 = iprot.readListBegin();
+                struct.reports = new java.util.ArrayList<WireLoadReport>(_list156.size);
+                @org.apache.thrift.annotation.Nullable WireLoadReport _elem157;
+                for (int _i158 = 0; _i158 < _list156.size; ++_i158)
                 {
-                  _elem123 = new WireLoadReport();
-                  _elem123.read(iprot);
-                  struct.reports.add(_elem123);
+                  _elem157 = new WireLoadReport();
+                  _elem157.read(iprot);
+                  struct.reports.add(_elem157);
                 }
                 iprot.readListEnd();
               }
@@ -372,9 +372,9 @@
         oprot.writeFieldBegin(REPORTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.reports.size()));
-          for (WireLoadReport _iter125 : struct.reports)
+          for (WireLoadReport _iter159 : struct.reports)
           {
-            _iter125.write(oprot);
+            _iter159.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -406,9 +406,9 @@
       if (struct.isSetReports()) {
         {
           oprot.writeI32(struct.reports.size());
-          for (WireLoadReport _iter126 : struct.reports)
+          for (WireLoadReport _iter160 : struct.reports)
           {
-            _iter126.write(oprot);
+            _iter160.write(oprot);
           }
         }
       }
@@ -420,14 +420,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list127 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.reports = new java.util.ArrayList<WireLoadReport>(_list127.size);
-          @org.apache.thrift.annotation.Nullable WireLoadReport _elem128;
-          for (int _i129 = 0; _i129 < _list127.size; ++_i129)
+          org.apache.thrift.protocol.TList _list161 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.reports = new java.util.ArrayList<WireLoadReport>(_list161.size);
+          @org.apache.thrift.annotation.Nullable WireLoadReport _elem162;
+          for (int _i163 = 0; _i163 < _list161.size; ++_i163)
           {
-            _elem128 = new WireLoadReport();
-            _elem128.read(iprot);
-            struct.reports.add(_elem128);
+            _elem162 = new WireLoadReport();
+            _elem162.read(iprot);
+            struct.reports.add(_elem162);
           }
         }
         struct.setReportsIsSet(true);
--- a/src/main/java/org/lacewingstep/peer/wire/WireStoreUpdate.java
+++ b/src/main/java/org/lacewingstep/peer/wire/WireStoreUpdate.java
@@ -672,14 +672,14 @@
           case 5: // CHANGES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list114 = iprot.readListBegin();
-                struct.changes = new java.util.ArrayList<WireStoreChange>(_list114.size);
-                @org.apache.thrift.annotation.Nullable WireStoreChange _elem115;
-                for (int _i116 = 0; _i116 < _list114.size; ++_i116)
+                org.apache.thrift.protocol.TList _list148 = iprot.readListBegin();
+                struct.changes = new java.util.ArrayList<WireStoreChange>(_list148.size);
+                @org.apache.thrift.annotation.Nullable WireStoreChange _elem149;
+                for (int _i150 = 0; _i150 < _list148.size; ++_i150)
                 {
-                  _elem115 = new WireStoreChange();
-                  _elem115.read(iprot);
-                  struct.changes.add(_elem115);
+                  _elem149 = new WireStoreChange();
+                  _elem149.read(iprot);
+                  struct.changes.add(_elem149);
                 }
                 iprot.readListEnd();
               }
@@ -720,9 +720,9 @@
         oprot.writeFieldBegin(CHANGES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.changes.size()));
-          for (WireStoreChange _iter117 : struct.changes)
+          for (WireStoreChange _iter151 : struct.changes)
           {
-            _iter117.write(oprot);
+            _iter151.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -778,9 +778,9 @@
       if (struct.isSetChanges()) {
         {
           oprot.writeI32(struct.changes.size());
-          for (WireStoreChange _iter118 : struct.changes)
+          for (WireStoreChange _iter152 : struct.changes)
           {
-            _iter118.write(oprot);
+            _iter152.write(oprot);
           }
         }
       }
@@ -808,14 +808,14 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TList _list119 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.changes = new java.util.ArrayList<WireStoreChange>(_list119.size);
-          @org.apache.thrift.annotation.Nullable WireStoreChange _elem120;
-          for (int _i121 = 0; _i121 < _list119.size; ++_i121)
+          org.apache.thrift.protocol.TList _list153 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.changes = new java.util.ArrayList<WireStoreChange>(_list153.size);
+          @org.apache.thrift.annotation.Nullable WireStoreChange _elem154;
+          for (int _i155 = 0; _i155 < _list153.size; ++_i155)
           {
-            _elem120 = new WireStoreChange();
-            _elem120.read(iprot);
-            struct.changes.add(_elem120);
+            _elem154 = new WireStoreChange();
+            _elem154.read(iprot);
+            struct.changes.add(_elem154);
           }
         }
         struct.setChangesIsSet(true);
--- a/src/test/java/org/lacewingstep/command/PlatformTestSite.java
+++ b/src/test/java/org/lacewingstep/command/PlatformTestSite.java
@@ -50,7 +50,8 @@
             "listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},
             "platform":{"address":"127.0.0.1:%d"},
             "bounds":{"revokeMs":60000,"graceS":8,"retryBudgetRatio":0.2,"budgetWindowS":10,"retrySlack":5200,
-            "quotaWindowS":8,"quotaOver":0.1,"quotaSlack":14000000,"coldOver":1.5,"coldSlack":500,"leaseMs":3000}}""";
+            "quotaWindowS":8,"quotaOver":0.1,"quotaSlack":14000000,"coldOver":1.5,"coldSlack":500,"leaseMs":3000,
+            "exposeShare":0.1,"exposeSlack":50,"rollbackMs":5000}}""";
     private static final String TABLE =
             """
             {"version":1,"routes":[
@@ -72,7 +73,7 @@
             "limits":{"maxBodyBytes":4194304,"idleTimeoutMs":15000},"tenants":[]}""";
     private static final String UPSTREAM =
             """
-            {"service":"%s","address":"127.0.0.1:%d","zone":"a","version":"v1","slots":6,"state":"ready",
+            {"service":"%s","address":"127.0.0.1:%d","zone":"a","version":"%s","slots":6,"state":"ready",
             "coldRemainingMs":0,"seq":1,"born":%d%s}""";
 
     private final AtomicInteger calls = new AtomicInteger();
@@ -125,7 +126,31 @@
     }
 
     private void register(final String name, final String service, final RawUpstream upstream, final String stage) {
-        store.put("servers/" + name, UPSTREAM.formatted(service, upstream.port(), starts.get(), stage));
+        register(name, service, upstream, "v1", stage);
+    }
+
+    private void register(
+            final String name,
+            final String service,
+            final RawUpstream upstream,
+            final String version,
+            final String stage) {
+        store.put("servers/" + name, UPSTREAM.formatted(service, upstream.port(), version, starts.get(), stage));
+    }
+
+    /** Orders to move the calls of the pair to another version, and registers the upstreams of that version. */
+    void rollOut(final String version, final Duration limit, final List<RawUpstream> upstreams) {
+        store.put(
+                "op/rollout/pair",
+                "{\"service\":\"pair\",\"target\":\"%s\",\"durationS\":%d}".formatted(version, limit.toSeconds()));
+        for (int i = 0; i < upstreams.size(); i++) {
+            register("i-" + version + "-" + i, "pair", upstreams.get(i), version, "");
+        }
+    }
+
+    /** Returns the state that the operators read, empty if none was written. */
+    String rolloutState() {
+        return store.read("status/rollout/pair");
     }
 
     /** Registers both upstreams of a pair with a new time of start, as after a crash. */
