Process prompts elsewhere only while the retry budget is not overdrawn

Cause: a prompt that a prefill upstream turns away counts as a retry after the fact. While prefill upstreams turn prompts away, each call added to the debt, and its prompt was often processed for nothing, as no retry was left.

Change: while the budget of a service is overdrawn, the responding upstream processes the prompt itself.

--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -359,7 +359,9 @@
 
     private static Optional<RegisteredUpstream> choosePrefill(
             final Blackboard board, final Call call, final RegisteredUpstream upstream, final Instant now) {
-        if (upstream.role() != UpstreamRole.DECODE || !call.tried().isEmpty()) {
+        if (upstream.role() != UpstreamRole.DECODE
+                || !call.tried().isEmpty()
+                || AllowanceShare.retryBudget(board, call.service(), now).isOverdrawn()) {
             return Optional.empty();
         }
         return UpstreamChoice.choose(board, call, Set.of(UpstreamRole.PREFILL), upstream.failureDomain(), now);
--- a/src/main/java/org/lacewingstep/domain/RetryBudget.java
+++ b/src/main/java/org/lacewingstep/domain/RetryBudget.java
@@ -125,6 +125,15 @@
         return credits >= 1;
     }
 
+    /**
+     * Returns whether more retries have arrived than the budget covers.
+     *
+     * @return true if the credit is below zero
+     */
+    public boolean isOverdrawn() {
+        return credits < 0;
+    }
+
     private RetryBudget limited() {
         return new RetryBudget(Math.min(credits, capacity - reserved), reserved, capacity, perSecond, updatedAt);
     }
--- a/src/test/java/org/lacewingstep/controller/RetryBudgetBoundTest.java
+++ b/src/test/java/org/lacewingstep/controller/RetryBudgetBoundTest.java
@@ -115,6 +115,22 @@
         assertThat(credits(site, SiteFixture.LEDGER)).isEqualTo(credits);
     }
 
+    /** A prefill upstream that turns a prompt away counts as a retry that nobody could foresee. */
+    @Test
+    void promptsAreNotProcessedElsewhereWhileThoseTurnedAwayOverdrawTheBudget() {
+        final SiteFixture site = SiteFixture.serving();
+        assertThat(site.lastSend(site.call("/stream/x", 10)).prefill()).isPresent();
+
+        for (int i = 0; i < 20; i++) {
+            site.step(new Event.AllowanceChanged(new AllowanceChange.UncountedRetry(SiteFixture.ENGINES)));
+        }
+        assertThat(site.lastSend(site.call("/stream/x", 10)).prefill()).isEmpty();
+        site.advanceClock(WINDOW);
+        site.confirmTable();
+
+        assertThat(site.lastSend(site.call("/stream/x", 10)).prefill()).isPresent();
+    }
+
     private static double credits(final SiteFixture site, final ServiceName service) {
         return AllowanceShare.retryBudget(site.board(), service, site.now()).credits();
     }
