Cut callers that are slow while others are refused for lack of memory

Cause: a response was counted until it was handed to the connection of its caller, not until the caller had read it, and a caller that sent a large body slowly kept its memory for as long as it liked.

Change: a large response counts until it is read. Counter callers.cut.

--- a/src/main/java/org/lacewingstep/traffic/BodyBuffer.java
+++ b/src/main/java/org/lacewingstep/traffic/BodyBuffer.java
@@ -16,6 +16,7 @@
 
     private byte[] bytes = new byte[0];
     private boolean closed;
+    private boolean complete;
     private int length;
     private boolean overflown;
     private int reserved;
@@ -65,6 +66,29 @@
         return this;
     }
 
+    /**
+     * Returns the number of bytes received so far.
+     *
+     * @return the number of bytes
+     */
+    int length() {
+        return length;
+    }
+
+    /** Marks the body as complete. */
+    void complete() {
+        complete = true;
+    }
+
+    /**
+     * Returns whether the body has ended or is not wanted any longer.
+     *
+     * @return true if no more bytes are awaited
+     */
+    boolean isComplete() {
+        return complete || closed;
+    }
+
     /**
      * Returns whether a part of the body was discarded.
      *
--- a/src/main/java/org/lacewingstep/traffic/CallHandler.java
+++ b/src/main/java/org/lacewingstep/traffic/CallHandler.java
@@ -31,6 +31,7 @@
     private final BufferBudget budget;
     private final IntSupplier maxBodyBytes;
     private final OpenCalls openCalls;
+    private final SlowCallers slowCallers;
 
     /**
      * Creates a handler for all calls of this instance.
@@ -42,6 +43,7 @@
     public CallHandler(final OpenCalls openCalls, final IntSupplier maxBodyBytes, final BufferBudget budget) {
         this.openCalls = openCalls;
         this.budget = budget;
+        this.slowCallers = new SlowCallers(openCalls, budget);
         this.maxBodyBytes = maxBodyBytes;
     }
 
@@ -56,10 +58,12 @@
         } else if (!buffer.reserve((int) Math.max(0, stated))) {
             refuseForRoom(context).then(refusal -> UnreadBody.answer(context, refusal, largest));
         } else {
+            slowCallers.watchBody(context.getDirectChannelAccess().getChannel(), buffer);
             request.getBodyStream(largest)
                     .reduce(buffer, BodyBuffer::append)
                     .onError(RequestBodyTooLargeException.class, tooLarge -> context.clientError(TOO_LARGE))
                     .then(body -> {
+                        body.complete();
                         if (body.isOverflown()) {
                             refuseForRoom(context).then(refusal -> writeResponse(context, refusal));
                         } else {
@@ -130,6 +134,7 @@
         switch (callResponse) {
             case CallResponse.Complete(int status, HttpHeaders headers, byte[] body) -> {
                 writeHead(response, status, headers);
+                slowCallers.watchResponse(context, body.length);
                 response.send(body);
             }
             case CallResponse.Streamed(int status, HttpHeaders headers, ResponseStream body) -> {
--- a/src/main/java/org/lacewingstep/traffic/CallMetrics.java
+++ b/src/main/java/org/lacewingstep/traffic/CallMetrics.java
@@ -38,6 +38,11 @@
         registry.counter("bodies.refused").inc();
     }
 
+    /** Counts a caller whose connection was closed because it was too slow for the memory that it held. */
+    public void countSlowCaller() {
+        registry.counter("callers.cut").inc();
+    }
+
     /** Counts a failed request to an upstream. */
     public void countUpstreamFailure() {
         registry.counter("upstreams.failed").inc();
--- a/src/main/java/org/lacewingstep/upstream/BufferBudget.java
+++ b/src/main/java/org/lacewingstep/upstream/BufferBudget.java
@@ -20,6 +20,7 @@
     private static final double LARGE_FRACTION = 0.8;
 
     private final long limit;
+    private final AtomicLong refused = new AtomicLong();
     private final AtomicLong reserved = new AtomicLong();
 
     /**
@@ -53,9 +54,28 @@
             return true;
         }
         reserved.addAndGet(-bytes);
+        refused.incrementAndGet();
         return false;
     }
 
+    /**
+     * Reserves bytes that are kept already, beyond the bound if need be; later bodies make up for it.
+     *
+     * @param bytes the number of bytes, not negative
+     */
+    public void reserveKept(final long bytes) {
+        reserved.addAndGet(bytes);
+    }
+
+    /**
+     * Counts the reservations that the bound did not permit.
+     *
+     * @return the number since the start of the process
+     */
+    public long refusals() {
+        return refused.get();
+    }
+
     /**
      * Releases reserved bytes.
      *
