--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -361,7 +361,9 @@
 
     private static Optional<RegisteredUpstream> choosePrefill(
             final Blackboard board, final Call call, final RegisteredUpstream upstream, final Instant now) {
-        if (upstream.role() != UpstreamRole.DECODE || !call.tried().isEmpty()) {
+        if (upstream.role() != UpstreamRole.DECODE
+                || !call.tried().isEmpty()
+                || AllowanceShare.retryBudget(board, call.service(), now).isOverdrawn()) {
             return Optional.empty();
         }
         final Call placed = call.withPhase(new CallPhase.Sent(1, upstream.name(), Optional.empty()));
