--- a/src/test/java/org/lacewingstep/controller/RolloutFleetTest.java
+++ b/src/test/java/org/lacewingstep/controller/RolloutFleetTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Set;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -16,6 +18,7 @@
 import org.lacewingstep.domain.RolloutPlan.Stage;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.VersionName;
+import org.lacewingstep.traffic.StateDump;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -267,6 +270,23 @@
         assertThat(fleet.stages()).containsExactly(Stage.PROBING, Stage.ROLLED_BACK);
     }
 
+    @Test
+    void operatorsReadTheRolloutInTheStateOfAnInstance() throws Exception {
+        start();
+        fleet.run(Duration.ofSeconds(5));
+
+        final JsonNode rollout = new ObjectMapper()
+                .readTree(StateDump.of(fleet.sites().getFirst().board()))
+                .path("serving")
+                .path("rollouts")
+                .path("rollouts")
+                .path(SiteFixture.LEDGER.value());
+        assertThat(rollout.path("plan").path("stage").asText()).isEqualTo("PROBING");
+        assertThat(rollout.path("view").path("share").asDouble()).isPositive();
+        assertThat(rollout.path("view").path("tally").path("exposed").asLong()).isPositive();
+        assertThat(rollout.path("view").path("judgement").path("scores").size()).isPositive();
+    }
+
     @Test
     void versionWithoutAnOrderServesOnlyWhenTheOthersAreGone() {
         fleet.run(Duration.ofSeconds(2));
