--- a/src/test/java/org/lacewingstep/controller/RolloutFleet.java
+++ b/src/test/java/org/lacewingstep/controller/RolloutFleet.java
@@ -139,7 +139,7 @@
         drain(index);
     }
 
-    private static SitePolicy policy(final SitePolicy base) {
+    static SitePolicy policy(final SitePolicy base) {
         return new SitePolicy(
                 base.instance(),
                 base.failureDomain(),
