--- a/src/main/java/org/lacewingstep/controller/AllowanceShare.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceShare.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -11,13 +10,16 @@
 import org.lacewingstep.blackboard.AllowanceSection;
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.domain.AllowanceBucket;
+import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.RetryBudget;
+import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.SitePolicy;
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
+import org.pcollections.PMap;
 
 /**
  * Computes the team buckets, which hold what all instances together may still spend, and this instance's share of the
@@ -54,6 +56,11 @@
      */
     private static final double SELECTION_DIVISOR = 2;
 
+    /** Fraction of the rate slack that all instances together may have spent before they report without delay. */
+    private static final double SOON_REPORTED_FRACTION = 0.5;
+
+    private static final int MILLISECONDS_PER_SECOND = 1000;
+
     private AllowanceShare() {}
 
     /**
@@ -95,18 +102,69 @@
     }
 
     /**
-     * Computes the current retry budget of this instance.
+     * Computes how many units other instances have probably spent that no report has named yet. No more than the part
+     * of the slack that the bucket holds in addition to the team's burst, so that a team within its limit has the whole
+     * of the limit.
+     *
+     * @param board the blackboard, not null
+     * @param bucket the current bucket of the team, not null
+     * @param now the present time, not null
+     * @return the units, zero or more
+     */
+    static double unreportedUnits(final Blackboard board, final AllowanceBucket bucket, final Instant now) {
+        final double delaySeconds = board.serving().site().reportDelay().toMillis() / (double) MILLISECONDS_PER_SECOND;
+        final double limit =
+                board.serving().site().bounds().rateSlack() * SLACK_FRACTION * reachableFraction(board, now);
+        return Math.min(bucket.pace() * delaySeconds, limit);
+    }
+
+    /**
+     * Returns whether other instances need to know soon that this one has spent units: the same at each instance would
+     * use up half of the slack unseen.
+     *
+     * @param board the blackboard, not null
+     * @param units the units of a call
+     * @return true if the units should be reported without the delay of other changes
+     */
+    static boolean isReportedSoon(final Blackboard board, final long units) {
+        final double slack = board.serving().site().bounds().rateSlack();
+        return units * board.serving().site().instances() > slack * SOON_REPORTED_FRACTION;
+    }
+
+    /**
+     * Returns whether a report names new spending of a team whose bucket empties soon.
+     *
+     * @param board the blackboard, not null
+     * @param origin the instance that sent the report, not null
+     * @param spent the reported sums by team, not null
+     * @param now the present time, not null
+     * @return true if the report should be passed on without the delay of others
+     */
+    static boolean isPassedOnSoon(
+            final Blackboard board, final Incarnation origin, final Map<TeamName, Double> spent, final Instant now) {
+        final AllowanceSection.PeerSpending known =
+                board.serving().allowances().peers().get(origin.instance());
+        return spent.entrySet().stream()
+                .filter(sum -> known == null || sum.getValue() > known.units().getOrDefault(sum.getKey(), 0.0))
+                .anyMatch(sum -> bucket(board, sum.getKey(), now)
+                        .filter(AllowanceBucket::isUnderPressure)
+                        .isPresent());
+    }
+
+    /**
+     * Computes the current retry budget of a service at this instance. A restarted instance starts without credits.
      *
      * @param board the blackboard, not null
+     * @param service the service, not null
      * @param now the present time, not null
      * @return the retry budget, never null
      */
-    static RetryBudget retryBudget(final Blackboard board, final Instant now) {
+    static RetryBudget retryBudget(final Blackboard board, final ServiceName service, final Instant now) {
         final SitePolicy policy = board.serving().site().bounds();
-        return board.serving()
-                .allowances()
-                .retryBudget()
+        final RetryBudget known = board.serving().allowances().retryBudgets().get(service);
+        final RetryBudget budget = (known == null ? RetryBudget.NONE : known)
                 .withAllowance(policy.retrySlack() * instanceShare(board), policy.retryWindow(), now);
+        return known == null && !board.serving().site().firstStart() ? budget.withoutCredits() : budget;
     }
 
     /**
@@ -176,7 +234,7 @@
         final Map<TeamName, Double> units = new HashMap<>();
         board.serving().allowances().spent().forEach((team, spending) -> {
             if (spending.lastAt().plus(SPENDING_REPORT_PERIOD).isAfter(now)) {
-                units.put(team, spending.units());
+                units.put(team, spending.reported());
             }
         });
         return units;
@@ -185,17 +243,25 @@
     /**
      * Computes the fraction of the instances, this one included, whose reports have arrived within the timeout.
      *
-     * <p>Limits are scaled by this fraction, so that the sides of a network partition together keep within them.
+     * <p>Limits are scaled by this fraction, so that the sides of a network partition together keep within them. An
+     * instance that reports and is not known by its address counts as not reached, since it learns nothing from here.
      */
     private static double reachableFraction(final Blackboard board, final Instant now) {
         final AllowanceSection section = board.serving().allowances();
         final Duration timeout = board.serving().site().peerTimeout();
-        final List<Member> others = board.serving().site().others();
-        final long reached = others.stream()
-                .map(other -> section.peers().get(other.name()))
-                .filter(peer -> peer != null && peer.at().plus(timeout).isAfter(now))
-                .count();
-        return (1.0 + reached) / (1 + others.size());
+        final PMap<InstanceName, Member> present = board.serving().site().present();
+        int reached = 0;
+        int unknown = 0;
+        for (final Map.Entry<InstanceName, AllowanceSection.PeerSpending> peer :
+                section.peers().entrySet()) {
+            if (peer.getValue().at().plus(timeout).isAfter(now)) {
+                reached += present.containsKey(peer.getKey()) ? 1 : 0;
+                unknown += present.containsKey(peer.getKey()) ? 0 : 1;
+            }
+        }
+        final int others =
+                present.size() - (present.containsKey(board.identity().name()) ? 1 : 0);
+        return (1.0 + reached) / (1 + others + unknown);
     }
 
     private static double instanceShare(final Blackboard board) {
--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -33,9 +33,12 @@
             new RelayController(),
             new UpstreamLoadController(),
             new UpstreamNoticeController(),
+            new SpeedController(),
+            new KeptPromptController(),
             new AllowanceController(),
             new RoleController(),
             new PromptController(),
+            new RolloutController(),
             new CallController());
 
     /** The controllers of an instance on a platform, to whose other controllers no event means anything. */
--- a/src/main/java/org/lacewingstep/controller/CallAdmission.java
+++ b/src/main/java/org/lacewingstep/controller/CallAdmission.java
@@ -18,6 +18,7 @@
 import org.lacewingstep.domain.RegionName;
 import org.lacewingstep.domain.Route;
 import org.lacewingstep.domain.RoutingTable;
+import org.lacewingstep.domain.ServiceName;
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.TokenDemand;
@@ -118,7 +119,8 @@
                     : notReady("the routing table may be out of date");
         }
         if (route.get().open()) {
-            return new AdmissionDecision.Admitted(createCall(parameters, route.get(), Optional.empty(), Set.of(), 0));
+            return new AdmissionDecision.Admitted(
+                    createCall(table, parameters, route.get(), Optional.empty(), Set.of(), 0));
         }
         if (!confirmed) {
             return notReady("keys may have been withdrawn");
@@ -154,19 +156,23 @@
         final Optional<AllowanceBucket> bucket = AllowanceShare.bucket(board, team, now);
         final boolean withinDefaultUnits = allowance != null && units <= allowance.plainUnits();
         final double overdraft = withinDefaultUnits ? AllowanceShare.plainOverdraft(board) : 0;
-        if (bucket.isPresent() && !bucket.get().isOpen(overdraft)) {
+        final double unreported = bucket.map(known -> AllowanceShare.unreportedUnits(board, known, now))
+                .orElse(0.0);
+        if (bucket.isPresent() && !bucket.get().spend(unreported).isOpen(overdraft)) {
             return new AdmissionDecision.Refused(
                     new Refusal(
                             ErrorCode.RATE_EXCEEDED,
                             "the team's rate is exceeded",
-                            bucket.get().timeUntilOpen()),
+                            bucket.get().spend(unreported).timeUntilOpen()),
                     List.of(
                             Input.of("team", team),
                             Input.of("units", units),
                             Input.of("level", Math.round(bucket.get().level())),
+                            Input.of("unreported", Math.round(unreported)),
                             Input.of("rate", Math.round(bucket.get().unitsPerSecond()))));
         }
         return new AdmissionDecision.Admitted(createCall(
+                board.serving().routing().table(),
                 parameters,
                 route,
                 Optional.of(team),
@@ -175,20 +181,23 @@
     }
 
     private static Call createCall(
+            final RoutingTable table,
             final CallParameters parameters,
             final Route route,
             final Optional<TeamName> team,
             final Set<RegionName> teamRegions,
             final long units) {
+        final ServiceName service = route.chooseService(parameters.request());
         final Duration limit =
                 parameters.waitLimit().compareTo(route.timeLimit()) < 0 ? parameters.waitLimit() : route.timeLimit();
         final Instant deadline = parameters.receivedAt().plus(limit);
         return new Call(
                 parameters,
                 route,
-                route.chooseService(parameters.request()),
+                service,
                 team,
                 teamRegions,
+                table.urgency(service, route, team),
                 units,
                 deadline,
                 0,
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.lacewingstep.blackboard.AllowanceChange;
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallInstruction;
 import org.lacewingstep.blackboard.CallResult;
@@ -18,6 +19,7 @@
 import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.blackboard.Outcome;
 import org.lacewingstep.blackboard.Refusal;
+import org.lacewingstep.blackboard.RolloutOccurrence;
 import org.lacewingstep.blackboard.TimerKey;
 import org.lacewingstep.controller.PromptQuarantine.QuarantinedPart;
 import org.lacewingstep.domain.FailureDomainName;
@@ -33,9 +35,6 @@
     /** Interval at which queued calls search again, for capacity that other instances have released. */
     private static final Duration QUEUE_POLL_INTERVAL = Duration.ofMillis(40);
 
-    /** Fraction of the latency target that a call may wait before it is sent and still be on time. */
-    private static final double ON_TIME_FRACTION = 0.6;
-
     /** Wait for engine capacity beyond the latency target of a stream; about the duration of one response. */
     private static final Duration STREAM_EXTRA_WAIT = Duration.ofSeconds(2);
 
@@ -127,7 +126,9 @@
                     yield AttemptReplacement.send(board, call, stalled, upstream.get(), builder, now);
                 }
                 rejectReservation(board, call, name, result, builder, now);
-                yield builder.outcome(CallController.with(board.serving().calls(), call.withPhase(stalled)));
+                final Call continued = call.withPhase(stalled);
+                CallCharge.move(call, continued, builder);
+                yield builder.outcome(CallController.with(board.serving().calls(), continued));
             }
             case CallPhase.Queued queued -> builder.outcome(board.serving().calls());
             case CallPhase.Sent sent -> builder.outcome(board.serving().calls());
@@ -213,18 +214,6 @@
                 Duration.between(now, call.deadline()));
     }
 
-    /**
-     * Returns whether a call that is sent now can be answered within its latency target.
-     *
-     * @param call the call, not null
-     * @param now the present time, not null
-     * @return true if the response can be on time
-     */
-    static boolean canMeetLatencyTarget(final Call call, final Instant now) {
-        final Duration waited = Duration.between(call.parameters().receivedAt(), now);
-        return waited.toNanos() <= call.route().latencyTarget().toNanos() * ON_TIME_FRACTION;
-    }
-
     private static Outcome<CallSection> queue(
             final Blackboard board, final Call call, final OutcomeBuilder builder, final Instant now) {
         if (!(call.phase() instanceof CallPhase.Queued(Instant until)) || !now.isBefore(until)) {
@@ -238,6 +227,14 @@
                     builder,
                     new Refusal(ErrorCode.NO_CAPACITY, "all upstreams leave or have asked for a pause", delay.get()));
         }
+        final Optional<Duration> forecastDelay = QueueForecast.refusalDelay(board, call, until, now);
+        if (forecastDelay.isPresent()) {
+            return refuse(
+                    board,
+                    call,
+                    builder,
+                    new Refusal(ErrorCode.NO_CAPACITY, "no upstream will be free in time", forecastDelay.get()));
+        }
         builder.add(new Effect.StartTimer(new TimerKey.CallQueue(call.service()), now.plus(QUEUE_POLL_INTERVAL)));
         return builder.outcome(CallController.with(board.serving().calls(), call));
     }
@@ -267,6 +264,7 @@
                 call.mayHaveRun()
                         ? new CallInstruction.Fail(ErrorCode.UPSTREAM_FAILED, refusal.message())
                         : new CallInstruction.Refuse(refusal)));
+        CallCharge.end(call, builder);
         return builder.outcome(CallController.without(board.serving().calls(), call));
     }
 
@@ -290,12 +288,13 @@
         final Optional<RegisteredUpstream> prefill =
                 promptKept ? Optional.empty() : choosePrefill(board, call, upstream, now);
         final int attempt = call.attempts() + 1;
+        builder.add(new Event.RolloutAdvanced(new RolloutOccurrence.AttemptSent(
+                call.parameters().request(), attempt, upstream, call.route().name())));
         prefill.ifPresent(chosen -> builder.add(new Event.UpstreamOccupied(chosen, call.tokens())));
         if (call.tried().isEmpty()) {
-            builder.add(new Event.FirstSend());
-            call.team().ifPresent(team -> builder.add(new Event.AllowanceSpent(team, call.units())));
+            builder.add(new Event.AllowanceChanged(new AllowanceChange.FirstSend(call.service())));
         } else if (attempt > 1) {
-            builder.add(new Event.RetrySend());
+            builder.add(new Event.AllowanceChanged(new AllowanceChange.RetrySent(call.service())));
         }
         builder.add(new Effect.Log(Decision.on(
                 "placement",
@@ -308,8 +307,11 @@
                         prefill.map(chosen -> chosen.name().value()).orElse("none")),
                 Input.of("attempt", attempt),
                 Input.of("team", call.team().map(Object::toString).orElse("none")),
+                Input.of("urgency", call.urgency().rank()),
                 Input.of("version", board.serving().routing().table().version()),
                 Input.of("running", board.serving().use(upstream.name(), now)),
+                Input.of("kept_tokens", (long) KeptPromptBelief.keptTokens(board, call, prefill.orElse(upstream))),
+                Input.of("forecast_wait_ms", UpstreamSpeeds.forecastMillis(board, upstream, now)),
                 Input.of("left_ms", Duration.between(now, call.deadline()).toMillis()))));
         builder.add(new Effect.InstructCall(
                 call.parameters().request(),
@@ -351,15 +353,21 @@
                 retryTimeout(call, attempt, responseTimeout(board, call, upstream, now), now),
                 retryTimeout(call, attempt, SILENCE_TIMEOUT, now),
                 call.route().kind() instanceof RouteKind.EventStream,
-                ReservationRequest.connectionLimit(board, call));
+                ReservationRequest.connectionLimit(board, call),
+                board.serving().routing().table().isRanked(call.service())
+                        ? Optional.of(call.urgency())
+                        : Optional.empty());
     }
 
     private static Optional<RegisteredUpstream> choosePrefill(
             final Blackboard board, final Call call, final RegisteredUpstream upstream, final Instant now) {
-        if (upstream.role() != UpstreamRole.DECODE || call.attempts() > 0) {
+        if (upstream.role() != UpstreamRole.DECODE
+                || !call.tried().isEmpty()
+                || AllowanceShare.retryBudget(board, call.service(), now).isOverdrawn()) {
             return Optional.empty();
         }
-        return UpstreamChoice.choose(board, call, Set.of(UpstreamRole.PREFILL), upstream.failureDomain(), now);
+        final Call placed = call.withPhase(new CallPhase.Sent(1, upstream.name(), Optional.empty()));
+        return UpstreamChoice.choose(board, placed, Set.of(UpstreamRole.PREFILL), upstream.failureDomain(), now);
     }
 
     /** Limits the time without progress after which an attempt is replaced to the time that remains. */
--- a/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
@@ -105,6 +105,7 @@
         return isAvailable(board, call, entry, now)
                 && !call.tried().contains(upstream.name())
                 && UpstreamRoom.hasCapacity(board, call, upstream, now)
+                && PlainRoom.hasPlace(board, call, upstream, now)
                 && UpstreamRoom.isWithinColdStartLimit(board, upstream, alternatives, now);
     }
 
@@ -116,6 +117,7 @@
                 && !board.serving().roles().isChanging(upstream, now)
                 && !board.serving().routing().takenOut().contains(upstream.failureDomain())
                 && isInAllowedRegion(board, call, upstream)
+                && RolloutRouting.permits(board, call, upstream, now)
                 && !isEngineBackedOff(board, upstream, now);
     }
 
--- a/src/main/java/org/lacewingstep/peer/RecordCodec.java
+++ b/src/main/java/org/lacewingstep/peer/RecordCodec.java
@@ -1,6 +1,7 @@
 package org.lacewingstep.peer;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,8 +13,11 @@
 
 import org.lacewingstep.blackboard.PeerMessage;
 import org.lacewingstep.blackboard.PromptEvidence;
+import org.lacewingstep.domain.AnswerCounts;
+import org.lacewingstep.domain.AnswerGroup;
 import org.lacewingstep.domain.AttemptIdentifier;
 import org.lacewingstep.domain.CellName;
+import org.lacewingstep.domain.Demand;
 import org.lacewingstep.domain.FailureDomainName;
 import org.lacewingstep.domain.Incarnation;
 import org.lacewingstep.domain.InstanceName;
@@ -23,19 +27,29 @@
 import org.lacewingstep.domain.RequestIdentifier;
 import org.lacewingstep.domain.Reservation;
 import org.lacewingstep.domain.Roster;
+import org.lacewingstep.domain.ServiceName;
+import org.lacewingstep.domain.ServiceUrgency;
+import org.lacewingstep.domain.SpeedKey;
+import org.lacewingstep.domain.SpeedSum;
 import org.lacewingstep.domain.TeamName;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamStart;
 import org.lacewingstep.domain.UpstreamUse;
+import org.lacewingstep.domain.Urgency;
+import org.lacewingstep.domain.VersionName;
+import org.lacewingstep.domain.WorkKind;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
+import org.lacewingstep.peer.wire.WireAnswerCounts;
 import org.lacewingstep.peer.wire.WireAttempt;
+import org.lacewingstep.peer.wire.WireDemand;
 import org.lacewingstep.peer.wire.WireMember;
 import org.lacewingstep.peer.wire.WirePromptCrash;
 import org.lacewingstep.peer.wire.WirePromptEvidence;
 import org.lacewingstep.peer.wire.WireReservation;
 import org.lacewingstep.peer.wire.WireRosterCopy;
 import org.lacewingstep.peer.wire.WireSiteLoad;
+import org.lacewingstep.peer.wire.WireSpeed;
 import org.lacewingstep.peer.wire.WireUpstreamStart;
 import org.lacewingstep.peer.wire.WireUpstreamUse;
 
@@ -146,9 +160,72 @@
                     .map(start -> new WireUpstreamStart(start.upstream().value(), start.startedAtMillis()))
                     .toList());
         }
+        if (!load.queued().isEmpty()) {
+            wire.setQueued(load.queued().entrySet().stream()
+                    .map(entry -> encodeDemand(entry.getKey(), entry.getValue()))
+                    .toList());
+        }
+        if (!load.speeds().isEmpty()) {
+            wire.setSpeeds(load.speeds().entrySet().stream()
+                    .map(entry -> encodeSpeed(entry.getKey(), entry.getValue()))
+                    .toList());
+        }
+        if (!load.answers().isEmpty()) {
+            wire.setAnswers(load.answers().entrySet().stream()
+                    .map(entry -> encodeAnswers(entry.getKey(), entry.getValue()))
+                    .toList());
+        }
         return wire;
     }
 
+    private static WireDemand encodeDemand(final ServiceUrgency key, final Demand demand) {
+        return new WireDemand(
+                key.service().value(),
+                key.urgency().rank(),
+                demand.queued(),
+                demand.queuedTokens(),
+                demand.arrivedTokens(),
+                demand.releasedTokens());
+    }
+
+    private static WireSpeed encodeSpeed(final SpeedKey key, final SpeedSum sum) {
+        return new WireSpeed(
+                key.start().upstream().value(),
+                key.start().startedAtMillis(),
+                (byte) key.kind().ordinal(),
+                sum.samples(),
+                sum.weight(),
+                sum.logSum());
+    }
+
+    private static WireAnswerCounts encodeAnswers(final AnswerGroup group, final AnswerCounts counts) {
+        return new WireAnswerCounts(
+                group.service().value(),
+                group.order(),
+                group.version().value(),
+                group.route(),
+                group.part(),
+                counts.sent(),
+                counts.failed(),
+                counts.served());
+    }
+
+    private static Map<AnswerGroup, AnswerCounts> decodeAnswers(final WireSiteLoad wire) {
+        final Map<AnswerGroup, AnswerCounts> answers = new HashMap<>();
+        if (wire.isSetAnswers()) {
+            wire.getAnswers()
+                    .forEach(counted -> answers.put(
+                            new AnswerGroup(
+                                    new ServiceName(counted.getServiceName()),
+                                    counted.getOrder(),
+                                    new VersionName(counted.getVersion()),
+                                    counted.getRoute(),
+                                    counted.getPart()),
+                            new AnswerCounts(counted.getSent(), counted.getFailed(), counted.getServed())));
+        }
+        return answers;
+    }
+
     static PeerMessage.SiteLoad decodeSiteLoad(final WireSiteLoad wire) {
         final Map<UpstreamName, UpstreamUse> uses = new HashMap<>();
         wire.getUses()
@@ -167,7 +244,35 @@
                     .forEach(start -> leaving.add(new UpstreamStart(
                             new UpstreamName(start.getUpstream()), start.getStartedAtMilliseconds())));
         }
-        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving);
+        final Map<ServiceUrgency, Demand> queued = new HashMap<>();
+        if (wire.isSetQueued()) {
+            wire.getQueued()
+                    .forEach(demand -> queued.put(
+                            new ServiceUrgency(
+                                    new ServiceName(demand.getServiceName()), Urgency.nearest(demand.getUrgency())),
+                            new Demand(
+                                    demand.getQueued(),
+                                    demand.getQueuedTokens(),
+                                    demand.getArrivedTokens(),
+                                    demand.getReleasedTokens())));
+        }
+        final Map<SpeedKey, SpeedSum> speeds = new HashMap<>();
+        if (wire.isSetSpeeds()) {
+            wire.getSpeeds().stream().filter(RecordCodec::isKnownKind).forEach(speed -> decodeSpeed(speed, speeds));
+        }
+        return new PeerMessage.SiteLoad(uses, spent, prompts, leaving, queued, speeds, decodeAnswers(wire));
+    }
+
+    private static boolean isKnownKind(final WireSpeed speed) {
+        return speed.getKind() >= 0 && speed.getKind() < WorkKind.values().length;
+    }
+
+    private static void decodeSpeed(final WireSpeed wire, final Map<SpeedKey, SpeedSum> speeds) {
+        final UpstreamStart start =
+                new UpstreamStart(new UpstreamName(wire.getUpstream()), wire.getStartedAtMilliseconds());
+        speeds.put(
+                new SpeedKey(start, WorkKind.values()[wire.getKind()]),
+                new SpeedSum(wire.getSamples(), wire.getWeight(), wire.getLogSum(), Instant.EPOCH));
     }
 
     private static WirePromptEvidence encodeEvidence(final PromptPart part, final PromptEvidence evidence) {
--- a/src/main/java/org/lacewingstep/platform/RoutingDocumentCodec.java
+++ b/src/main/java/org/lacewingstep/platform/RoutingDocumentCodec.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.lacewingstep.domain.CallerLimits;
 import org.lacewingstep.domain.KeyDigest;
+import org.lacewingstep.domain.Precedence;
 import org.lacewingstep.domain.RegionName;
 import org.lacewingstep.domain.Route;
 import org.lacewingstep.domain.RouteKind;
@@ -72,7 +73,8 @@
                 (int) Math.max(1, node.path("maxAttempts").asLong(1)),
                 node.path("anonymous").asBoolean(),
                 targets(node),
-                regions(node));
+                regions(node),
+                priority(node));
     }
 
     private static RouteKind kind(final JsonNode node) {
@@ -121,7 +123,12 @@
                 node.path("burst").asDouble(),
                 "token_stream".equals(node.path("unit").asText()),
                 node.path("plainTokens").asLong(),
-                regions(node));
+                regions(node),
+                priority(node));
+    }
+
+    private static int priority(final JsonNode node) {
+        return node.path("priority").asInt(Precedence.DEFAULT_PRIORITY);
     }
 
     private static CallerLimits limits(final JsonNode node) {
--- a/src/test/java/org/lacewingstep/etcd/OuterNamesTest.java
+++ b/src/test/java/org/lacewingstep/etcd/OuterNamesTest.java
@@ -32,6 +32,7 @@
 import org.lacewingstep.domain.ServiceSelector;
 import org.lacewingstep.domain.TeamAllowance;
 import org.lacewingstep.domain.TeamName;
+import org.lacewingstep.domain.Urgency;
 import org.pcollections.HashTreePSet;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -76,13 +77,23 @@
                 "countsTokens",
                 "plainUnits",
                 "homes",
+                "priority",
                 "limited");
     }
 
     @Test
     void callsKeepTheirNames() throws IOException {
         assertNames(
-                CALL_PARAMETERS, "request", "host", "path", "key", "tokens", "promptParts", "patience", "receivedAt");
+                CALL_PARAMETERS,
+                "request",
+                "host",
+                "path",
+                "key",
+                "tokens",
+                "promptParts",
+                "segments",
+                "patience",
+                "receivedAt");
         assertNames(
                 new CallSection.Call(
                         CALL_PARAMETERS,
@@ -90,6 +101,7 @@
                         SERVICE,
                         Optional.empty(),
                         Set.of(),
+                        Urgency.DEFAULT,
                         1,
                         Instant.EPOCH,
                         0,
@@ -102,6 +114,7 @@
                 "service",
                 "team",
                 "teamRegions",
+                "urgency",
                 "units",
                 "deadline",
                 "attempts",
@@ -174,7 +187,8 @@
                 "attemptLimit",
                 "open",
                 "targets",
-                "homes");
+                "homes",
+                "priority");
     }
 
     @Test
