Expect that a team is charged from admission on

Cause: the test asked that a waiting call costs its team nothing, but then calls admitted at many instances could pass the team's bound together. Change: it expects the charge at admission, once, and its return if the call ends unsent.

--- a/src/test/java/org/lacewingstep/controller/ReservationTest.java
+++ b/src/test/java/org/lacewingstep/controller/ReservationTest.java
@@ -52,10 +52,10 @@
     }
 
     @Test
-    void teamIsChargedOnceWhenACallIsSent() {
+    void teamIsChargedOnceFromAdmissionOn() {
         final RequestIdentifier request = site.call("/stream/x");
         endReservation(request, new CallResult.NotRun(true));
-        assertThat(spentUnits()).isZero();
+        assertThat(spentUnits()).isEqualTo(100);
 
         fireQueueTimer();
         endReservation(request, new CallResult.Served());
@@ -63,6 +63,15 @@
         assertThat(spentUnits()).isEqualTo(100);
     }
 
+    @Test
+    void teamIsNotChargedForACallThatEndsUnsent() {
+        final RequestIdentifier request = site.call("/stream/x");
+        endReservation(request, new CallResult.NotRun(true));
+        site.step(new Event.CallAbandoned(request));
+
+        assertThat(spentUnits()).isZero();
+    }
+
     @Test
     void reservationIsReleasedHoweverACallEnds() {
         final RequestIdentifier abandoned = site.call("/stream/x");
