Write the presence of an instance anew when the store has lost it

Cause: a write of the presence that the store applies late binds the entry to a lease that was given up. The entry ends with that lease, while the instance renews a later one for good and never writes the entry again.

Change: an instance whose entry the store no longer lists takes a new lease at its next renewal and writes the entry under it.

Result: SiteControllerTest.entryThatEndedWithAnotherLeaseIsWrittenAnew failed before (lease 7 was renewed).

--- a/src/main/java/org/lacewingstep/controller/SiteController.java
+++ b/src/main/java/org/lacewingstep/controller/SiteController.java
@@ -68,11 +68,16 @@
 
     private static Outcome<SiteSection> renew(final Blackboard board, final SiteSection site, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
-        builder.add(new Effect.RenewPresence(board.identity().member(), site.lease(), LEASE_DURATION));
+        builder.add(new Effect.RenewPresence(board.identity().member(), renewedLease(board, site), LEASE_DURATION));
         builder.add(new Effect.StartTimer(new TimerKey.Presence(), now.plus(RENEWAL_INTERVAL)));
         return builder.outcome(site);
     }
 
+    /** Takes a new lease if the store has lost the entry, which may have been written late under an earlier lease. */
+    private static long renewedLease(final Blackboard board, final SiteSection site) {
+        return site.unlisted().containsKey(board.identity().name()) ? 0 : site.lease();
+    }
+
     /** Delays the next renewal, so that a store that refuses immediately is not flooded with requests. */
     private static Outcome<SiteSection> retry(final SiteSection site, final Instant now) {
         final OutcomeBuilder builder = new OutcomeBuilder();
--- a/src/test/java/org/lacewingstep/controller/SiteControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/SiteControllerTest.java
@@ -54,6 +54,25 @@
         assertThat(renewedLeases()).containsExactly(0L);
     }
 
+    /** A write that the store applies late puts the entry under a lease that nobody renews. */
+    @Test
+    void entryThatEndedWithAnotherLeaseIsWrittenAnew() {
+        site.changeStore(new StoreChange.InstanceRegistered(SiteFixture.member("a")));
+        site.step(new Event.PresenceRenewalEnded(true, 7));
+        site.changeStore(
+                new StoreChange.InstanceUnregistered(SiteFixture.member("a").name()));
+        site.effects().clear();
+
+        site.step(new Event.TimerFired(new TimerKey.Presence()));
+        assertThat(renewedLeases()).containsExactly(0L);
+
+        site.step(new Event.PresenceRenewalEnded(true, 8));
+        site.changeStore(new StoreChange.InstanceRegistered(SiteFixture.member("a")));
+        site.effects().clear();
+        site.step(new Event.TimerFired(new TimerKey.Presence()));
+        assertThat(renewedLeases()).containsExactly(8L);
+    }
+
     @Test
     void missingInstancesAreNotCounted() {
         site.changeStore(
