Reserve for deviations of urgent arrivals and forecast what is ahead

Cause: the reserve covered the mean of urgent arrivals, for which memory comes free meanwhile, and the forecast refused calls that would have been served. Change: the reserve covers two standard deviations; the forecast counts the calls ahead and the more urgent ones that arrive.

--- a/src/main/java/org/lacewingstep/controller/QueueForecast.java
+++ b/src/main/java/org/lacewingstep/controller/QueueForecast.java
@@ -33,11 +33,7 @@
         final Urgency urgency =
                 call.urgency().after(CallTiming.waited(call, now), call.route().latencyTarget());
         return PlaceForecast.timeToPlace(
-                        DemandReports.site(board, call.service(), now),
-                        urgency,
-                        arriving,
-                        call.tokens(),
-                        CallTiming.onTimeLeft(call, now))
+                        DemandReports.site(board, call.service(), now), urgency, arriving, call.tokens())
                 .filter(forecast -> now.plus(forecast).isAfter(until))
                 .map(forecast ->
                         ReturnDelay.of(call.parameters().request(), forecast, Duration.between(now, call.deadline())));
--- a/src/main/java/org/lacewingstep/placement/PlaceForecast.java
+++ b/src/main/java/org/lacewingstep/placement/PlaceForecast.java
@@ -11,51 +11,34 @@
  * a place is likely.
  */
 public final class PlaceForecast {
-    /** Part of the released memory that calls of each urgency receive, however many more urgent ones arrive. */
-    private static final double MIN_SHARE = 0.125;
-
     /** Longest forecast; what is further away is not predictable from the recent past. */
     private static final Duration MAX_FORECAST = Duration.ofMinutes(1);
 
     private static final double NANOSECONDS_PER_SECOND = 1e9;
 
+    /** Part of the released memory that calls of each urgency receive, however many more urgent ones arrive. */
+    private static final double MIN_SHARE = 0.125;
+
     private PlaceForecast() {}
 
     /**
-     * Forecasts the time until a call finds memory. A call that is late by then waits behind the equally urgent ones
-     * that arrive after it and can be on time.
+     * Forecasts the time until a call finds memory behind the calls ahead of it and the more urgent ones that arrive.
      *
      * @param demand the calls that ask for memory of the service, not null
      * @param urgency the urgency of the call, not null
      * @param arriving whether the call arrives now, so that all queued calls of its urgency are ahead of it
      * @param tokens the memory that the call needs, in tokens
-     * @param onTimeLeft for how long the call can still be on time, zero or less if it cannot, not null
      * @return the time, empty if no memory was returned lately, so that nothing can be said
      */
     public static Optional<Duration> timeToPlace(
-            final ServiceDemand demand,
-            final Urgency urgency,
-            final boolean arriving,
-            final long tokens,
-            final Duration onTimeLeft) {
+            final ServiceDemand demand, final Urgency urgency, final boolean arriving, final long tokens) {
         final double released = demand.releaseRate();
         if (released <= 0) {
             return Optional.empty();
         }
-        final double ahead = demand.queuedTokensBefore(urgency, arriving) + tokens;
-        final double rate = remainingRate(released, demand.arrivalRateBefore(urgency, false));
-        final double onTimeSeconds = Math.max(0, ServiceDemand.seconds(onTimeLeft));
-        final double beforeLate = onTimeSeconds * rate;
-        final double seconds = ahead <= beforeLate
-                ? ahead / rate
-                : onTimeSeconds
-                        + (ahead - beforeLate) / remainingRate(released, demand.arrivalRateBefore(urgency, true));
-        final Duration forecast = Duration.ofNanos(
-                (long) (Math.min(seconds, ServiceDemand.seconds(MAX_FORECAST)) * NANOSECONDS_PER_SECOND));
-        return Optional.of(forecast);
-    }
-
-    private static double remainingRate(final double released, final double taken) {
-        return Math.max(released * MIN_SHARE, released - taken);
+        final double rate = Math.max(released * MIN_SHARE, released - demand.arrivalRateBefore(urgency, false));
+        final double seconds = (demand.queuedTokensBefore(urgency, arriving) + tokens) / rate;
+        return Optional.of(Duration.ofNanos(
+                (long) (Math.min(seconds, ServiceDemand.seconds(MAX_FORECAST)) * NANOSECONDS_PER_SECOND)));
     }
 }
--- a/src/main/java/org/lacewingstep/placement/UrgentReserve.java
+++ b/src/main/java/org/lacewingstep/placement/UrgentReserve.java
@@ -6,13 +6,17 @@
 
 /**
  * Computes how much memory of a service a call leaves free for more urgent ones. Answers bursts of less urgent calls,
- * which would fill all memory before an urgent call arrives. The reserve covers the urgent calls that arrive until an
- * instance learns that memory was taken and a place has come free again, and those that wait in a queue anywhere.
+ * which would fill all memory before an urgent call arrives. The reserve covers those urgent calls that arrive beyond
+ * the mean until an instance learns that memory was taken and a place has come free again, since memory comes free for
+ * the mean meanwhile, and those that wait in a queue anywhere.
  */
 public final class UrgentReserve {
     /** Largest part of the memory that is kept free, so that calls of each urgency keep the rest. */
     private static final double MAX_RESERVE = 0.5;
 
+    /** Standard deviations of the number of urgent calls that the reserve covers. */
+    private static final double DEVIATIONS = 2;
+
     private UrgentReserve() {}
 
     /**
@@ -35,12 +39,13 @@
             final long memory) {
         final double arrivalRate = demand.arrivalRateBefore(urgency, !onTime);
         final long queued = demand.queuedTokensBefore(urgency, false);
-        if (memory <= 0 || arrivalRate <= 0 && queued == 0) {
+        if (memory <= 0 || callTokens <= 0 || arrivalRate <= 0 && queued == 0) {
             return 0;
         }
         final double releaseRate = demand.releaseRate();
         final double refill = releaseRate > 0 ? callTokens / releaseRate : 0;
-        final double reserve = queued + arrivalRate * (ServiceDemand.seconds(reportDelay) + refill);
+        final double arrivals = arrivalRate / callTokens * (ServiceDemand.seconds(reportDelay) + refill);
+        final double reserve = queued + DEVIATIONS * Math.sqrt(arrivals) * callTokens;
         return Math.min(MAX_RESERVE, reserve / memory);
     }
 }
