--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -24,7 +24,6 @@
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.UpstreamName;
-import org.lacewingstep.domain.UpstreamRole;
 import org.lacewingstep.domain.UpstreamUse;
 import org.pcollections.PMap;
 import org.pcollections.PVector;
@@ -37,10 +36,7 @@
     /** Back-off of an upstream that has sent nothing for longer than usual while an attempt is running. */
     private static final Duration STALL_BACKOFF = Duration.ofSeconds(1);
 
-    /**
-     * First back-off of an upstream that is unreachable, timed out or broke a plain call off; doubled with up to three
-     * further failures.
-     */
+    /** First back-off of an upstream that is unreachable or timed out; doubled with up to three further failures. */
     private static final Duration FAILURE_BACKOFF = Duration.ofSeconds(1);
 
     /** Failures in a row after which an upstream is in back-off even if it was reached and did not time out. */
@@ -66,7 +62,7 @@
             case Event.UpstreamOccupied(RegisteredUpstream upstream, long tokens) ->
                 scheduleBroadcast(board, withRequestStarted(section, upstream, tokens, now), now);
             case Event.UpstreamReleased(UpstreamName name, long tokens, Optional<CallResult> result) ->
-                scheduleBroadcast(board, withRequestEnded(board, name, tokens, result, now), now);
+                scheduleBroadcast(board, withRequestEnded(section, name, tokens, result, now), now);
             case Event.UpstreamStalled(UpstreamName name, var replaceable) ->
                 Outcome.of(with(section, name, section.of(name).withBackOff(now.plus(STALL_BACKOFF))));
             case Event.AllowanceChanged(AllowanceChange.Spent(var team, long units))
@@ -174,30 +170,26 @@
     }
 
     private static UpstreamLoadSection withRequestEnded(
-            final Blackboard board,
+            final UpstreamLoadSection section,
             final UpstreamName name,
             final long tokens,
             final Optional<CallResult> result,
             final Instant now) {
-        final UpstreamLoadSection section = board.serving().loads();
-        final boolean plain = UpstreamChoice.findRegistered(board, name)
-                .filter(upstream -> upstream.role() == UpstreamRole.PLAIN)
-                .isPresent();
         final Load load = section.of(name);
         final Load freed = load.withRunning(load.running().minusRequest(tokens), load.arrivals());
         return with(
                 section,
                 name,
-                result.map(ended -> withResult(freed, ended, plain, now)).orElse(freed));
+                result.map(ended -> withResult(freed, ended, now)).orElse(freed));
     }
 
-    private static Load withResult(final Load load, final CallResult result, final boolean plain, final Instant now) {
+    private static Load withResult(final Load load, final CallResult result, final Instant now) {
         return switch (result) {
             case CallResult.Served() -> withSuccess(load);
             case CallResult.FailedByUpstream(int status) ->
                 status < SERVER_ERROR ? withSuccess(load) : withServerError(load);
             case CallResult.NotRun(boolean reached) -> reached ? withRefusal(load, now) : withFailure(load, true, now);
-            case CallResult.Broken broken -> withFailure(load, broken.silent() || plain, now);
+            case CallResult.Broken broken -> withFailure(load, broken.silent(), now);
         };
     }
 
