Count no bytes for an exchange that has ended

Cause: bytes that arrived after an exchange had ended were counted and never released, so the bound of all bodies filled up slowly.

--- a/src/main/java/org/lacewingstep/upstream/UpstreamExchange.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamExchange.java
@@ -107,7 +107,7 @@
      * @return false if this response or all bodies together are longer than permitted
      */
     boolean countBufferedBytes(final int bytes) {
-        if (ownBufferedBytes + bytes > maxBufferedBytes() || !budget.reserve(bytes)) {
+        if (ended || ownBufferedBytes + bytes > maxBufferedBytes() || !budget.reserve(bytes)) {
             return false;
         }
         ownBufferedBytes += bytes;
--- a/src/test/java/org/lacewingstep/command/PlatformProcessTest.java
+++ b/src/test/java/org/lacewingstep/command/PlatformProcessTest.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.command;
 
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingstep.command.ScriptedUpstream.Script;
 import org.lacewingstep.domain.KeyDigest;
 import org.lacewingstep.standin.PlatformStoreStandIn;
@@ -272,14 +274,38 @@
         return send(route, "k");
     }
 
+    /** A large body is collected as it arrives and sent in slices; without a stated length its buffer grows. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void largeBodyReachesTheUpstreamWhole(final boolean stated) throws Exception {
+        final String body = "0123456789".repeat(30_000);
+
+        final HttpResponse<String> response = send(
+                "once",
+                "k",
+                stated
+                        ? HttpRequest.BodyPublishers.ofString(body)
+                        : HttpRequest.BodyPublishers.ofInputStream(
+                                () -> new ByteArrayInputStream(body.getBytes(StandardCharsets.US_ASCII))));
+
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(first.requests().getFirst().body()).isEqualTo(body);
+        await(() -> metrics().contains("bodies_bytes 0"));
+    }
+
     private static HttpResponse<String> send(final String route, final String key) throws Exception {
+        return send(route, key, HttpRequest.BodyPublishers.ofString("a sale"));
+    }
+
+    private static HttpResponse<String> send(final String route, final String key, final HttpRequest.BodyPublisher body)
+            throws Exception {
         final HttpRequest request = HttpRequest.newBuilder(
                         URI.create("http://127.0.0.1:" + callerPort + "/" + route + "/x"))
                 .timeout(TIMEOUT)
                 .header("Api-Key", key)
                 .header("Request-Id", "caller-1")
                 .header("Deadline-Ms", "3000")
-                .POST(HttpRequest.BodyPublishers.ofString("a sale"))
+                .POST(body)
                 .build();
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
