--- a/src/main/java/org/lacewingstep/rollout/ExposureShare.java
+++ b/src/main/java/org/lacewingstep/rollout/ExposureShare.java
@@ -10,7 +10,7 @@
  *
  * <p>Every instance draws each request with this share, so the sum over all instances needs no common count: a lost,
  * late or doubled report and a restart leave the share as it is. The slack of the site covers the chance of the draws,
- * the delay of the reports, and a larger share at the start, which ends as soon as the reports show its use.
+ * the delay of the reports, and a larger share, which ends as soon as the reports show its use.
  */
 public final class ExposureShare {
     /** Part of the permitted share that is drawn where the slack is large; the rest covers requests that are lost. */
@@ -22,18 +22,21 @@
     /** Slack that covers four standard deviations of the draws at the whole base share. */
     private static final double SLACK_FOR_BASE = 16;
 
-    /** Part of the slack that the larger share at the start may use. */
+    /** Part of the slack that a larger share may use at the start, to find a version soon that is bad from then on. */
     private static final double INITIAL_SLACK = 0.3;
 
+    /** Part of the slack that a larger share may have used afterwards, to find a version that turns bad later. */
+    private static final double LATER_SLACK = 0.5;
+
     /** Part of the slack beyond the share at which nothing more is sent until the share has caught up. */
     private static final double LAST_SLACK = 0.6;
 
-    private static final double MAX_INITIAL_SHARE = 0.3;
+    private static final double MAX_EXTRA_SHARE = 0.3;
 
-    /** Longest delay of reports, for which the larger share at the start may go on unseen. */
+    /** Longest delay of reports, for which the larger share may go on unseen. */
     private static final double REPORT_DELAY_SECONDS = 2;
 
-    /** Part of the time limit in which the share may be larger. */
+    /** Part of the time limit that counts as the start. */
     private static final int INITIAL_DIVISOR = 3;
 
     /** Time and requests before the rate of the requests can be told. */
@@ -62,14 +65,14 @@
         final double slackPart = Math.min(1, bounds.slack() / SLACK_FOR_BASE);
         final double base = bounds.share() * (LEAST_BASE + (BASE - LEAST_BASE) * slackPart);
         final boolean early = elapsed.compareTo(limit.dividedBy(INITIAL_DIVISOR)) < 0;
-        if (!early
-                || elapsed.compareTo(RATE_PERIOD) < 0
+        final double used = early ? INITIAL_SLACK : LATER_SLACK;
+        if (elapsed.compareTo(RATE_PERIOD) < 0
                 || tally.requests() < RATE_REQUESTS
-                || exposed >= base * tally.requests() + INITIAL_SLACK * bounds.slack()) {
+                || exposed >= base * tally.requests() + used * bounds.slack()) {
             return base;
         }
         final double rate = tally.requests() / (elapsed.toMillis() / (double) RATE_PERIOD.toMillis());
-        final double extra = INITIAL_SLACK * bounds.slack() / (rate * REPORT_DELAY_SECONDS);
-        return base + Math.min(MAX_INITIAL_SHARE, extra);
+        final double extra = (early ? used : LATER_SLACK - INITIAL_SLACK) * bounds.slack();
+        return base + Math.min(MAX_EXTRA_SHARE, extra / (rate * REPORT_DELAY_SECONDS));
     }
 }
