--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -227,6 +227,14 @@
                     builder,
                     new Refusal(ErrorCode.NO_CAPACITY, "all upstreams leave or have asked for a pause", delay.get()));
         }
+        final Optional<Duration> forecastDelay = QueueForecast.refusalDelay(board, call, until, now);
+        if (forecastDelay.isPresent()) {
+            return refuse(
+                    board,
+                    call,
+                    builder,
+                    new Refusal(ErrorCode.NO_CAPACITY, "no upstream will be free in time", forecastDelay.get()));
+        }
         builder.add(new Effect.StartTimer(new TimerKey.CallQueue(call.service()), now.plus(QUEUE_POLL_INTERVAL)));
         return builder.outcome(CallController.with(board.serving().calls(), call));
     }
@@ -346,14 +354,16 @@
                 retryTimeout(call, attempt, SILENCE_TIMEOUT, now),
                 call.route().kind() instanceof RouteKind.EventStream,
                 ReservationRequest.connectionLimit(board, call),
-                board.serving().routing().table().ranked().contains(call.service())
+                board.serving().routing().table().isRanked(call.service())
                         ? Optional.of(call.urgency())
                         : Optional.empty());
     }
 
     private static Optional<RegisteredUpstream> choosePrefill(
             final Blackboard board, final Call call, final RegisteredUpstream upstream, final Instant now) {
-        if (upstream.role() != UpstreamRole.DECODE || !call.tried().isEmpty()) {
+        if (upstream.role() != UpstreamRole.DECODE
+                || !call.tried().isEmpty()
+                || AllowanceShare.retryBudget(board, call.service(), now).isOverdrawn()) {
             return Optional.empty();
         }
         final Call placed = call.withPhase(new CallPhase.Sent(1, upstream.name(), Optional.empty()));
--- a/src/test/java/org/lacewingstep/etcd/OuterNamesTest.java
+++ b/src/test/java/org/lacewingstep/etcd/OuterNamesTest.java
@@ -77,7 +77,7 @@
                 "countsTokens",
                 "plainUnits",
                 "homes",
-                "urgency",
+                "priority",
                 "limited");
     }
 
@@ -188,7 +188,7 @@
                 "open",
                 "targets",
                 "homes",
-                "urgency");
+                "priority");
     }
 
     @Test
