Let all versions serve that are there before an instance is ready

The versions of a service were those of the first change that named one, so at a start with upstreams of two versions the second one got nothing until the first was gone. Versions seen before the instance is ready serve alike, except where a rollout has succeeded.

--- a/src/main/java/org/lacewingstep/controller/RolloutController.java
+++ b/src/main/java/org/lacewingstep/controller/RolloutController.java
@@ -67,10 +67,12 @@
             case Event.StoreRead(var content, long revision, Instant requestedAt)
             when isPermitted(board) ->
                 Outcome.of(withEstablished(
-                        withContent(section, content, requestedAt, now).withNews(requestedAt), content));
+                        withContent(section, content, requestedAt, now).withNews(requestedAt),
+                        content,
+                        isStarting(board)));
             case Event.StoreChanged(var changes, long revision)
             when isPermitted(board) ->
-                Outcome.of(withEstablished(apply(section, changes, now).withNews(now), changes));
+                Outcome.of(withEstablished(apply(section, changes, now).withNews(now), changes, isStarting(board)));
             case Event.RolloutAdvanced(RolloutOccurrence occurrence) -> Outcome.of(apply(board, occurrence, now));
             case Event.CallAttemptEnded(RequestIdentifier request, int attempt, CallResult result) ->
                 Outcome.of(RolloutCounting.withEnded(board, request, attempt, result, now));
@@ -200,24 +202,42 @@
                 : next;
     }
 
-    /** Adds the versions of services for which no version was known, other than versions that an order names. */
-    private static RolloutSection withEstablished(final RolloutSection section, final List<StoreChange> changes) {
+    /** Returns whether this instance is not ready yet, so that it may not have seen all upstreams of the start. */
+    private static boolean isStarting(final Blackboard board) {
+        return !board.lifecycle().isReady();
+    }
+
+    /**
+     * Adds the versions of services for which no version was known, and of all services before the instance is ready,
+     * other than versions that an order names.
+     */
+    private static RolloutSection withEstablished(
+            final RolloutSection section, final List<StoreChange> changes, final boolean starting) {
         final Map<ServiceName, PSet<VersionName>> found = new HashMap<>();
         for (final StoreChange change : changes) {
             if (change instanceof StoreChange.UpstreamRegistered(RegisteredUpstream upstream)
-                    && !section.established().containsKey(upstream.service())) {
+                    && (starting && !hasSucceeded(section, upstream.service())
+                            || !section.established().containsKey(upstream.service()))) {
                 found.merge(upstream.service(), HashTreePSet.singleton(upstream.version()), PSet::plusAll);
             }
         }
         PMap<ServiceName, PSet<VersionName>> established = section.established();
         for (final Map.Entry<ServiceName, PSet<VersionName>> entry : found.entrySet()) {
-            final PSet<VersionName> versions = entry.getValue();
+            final PSet<VersionName> versions =
+                    entry.getValue().plusAll(section.established().getOrDefault(entry.getKey(), HashTreePSet.empty()));
             final PSet<VersionName> others = versions.minusAll(RolloutRouting.targets(section.of(entry.getKey())));
             established = established.plus(entry.getKey(), others.isEmpty() ? versions : others);
         }
         return found.isEmpty() ? section : section.withEstablished(established);
     }
 
+    private static boolean hasSucceeded(final RolloutSection section, final ServiceName service) {
+        return section.of(service)
+                .plan()
+                .filter(plan -> plan.stage() == RolloutPlan.Stage.SUCCEEDED)
+                .isPresent();
+    }
+
     private static RolloutSection withWriteEnded(
             final RolloutSection section, final RolloutPlan plan, final Optional<Long> revision, final Instant now) {
         final Rollout known = section.of(plan.service());
--- a/src/test/java/org/lacewingstep/controller/RolloutRoutingTest.java
+++ b/src/test/java/org/lacewingstep/controller/RolloutRoutingTest.java
@@ -176,6 +176,29 @@
         }
     }
 
+    @Test
+    void versionsThatAppearBeforeTheInstanceIsReadyServeAlike() {
+        site.changeStore(new StoreChange.UpstreamRegistered(upstream(UpstreamRole.PLAIN, NEW, 0)));
+        site.step(new Event.TimerFired(new TimerKey.LifecycleCheck()));
+        final VersionName late = new VersionName("v3");
+        site.changeStore(new StoreChange.UpstreamRegistered(upstream(UpstreamRole.PLAIN, late, 0)));
+
+        final Set<VersionName> versions = new HashSet<>();
+        for (int i = 0; i < 200; i++) {
+            versions.add(sendAndServe("/read/x").upstream().version());
+        }
+        assertThat(versions).containsExactlyInAnyOrder(RolloutFleet.OLD, NEW);
+    }
+
+    @Test
+    void versionThatWasReplacedReceivesNothingAlsoBeforeTheInstanceIsReady() {
+        reach(Stage.SUCCEEDED);
+        site.changeStore(new StoreChange.UpstreamRegistered(upstream(UpstreamRole.PLAIN, RolloutFleet.OLD, 0)));
+        for (int i = 0; i < 100; i++) {
+            assertThat(sendAndServe("/read/x").upstream().version()).isEqualTo(NEW);
+        }
+    }
+
     @Test
     void processThatStartsDuringARolloutKnowsWhichVersionIsNew() {
         final List<StoreChange> content = new ArrayList<>();
