--- a/src/main/java/org/lacewingstep/domain/RetryBudget.java
+++ b/src/main/java/org/lacewingstep/domain/RetryBudget.java
@@ -25,6 +25,9 @@
 
     private static final double NANOSECONDS_PER_SECOND = 1e9;
 
+    /** Part of the allowance that may be spent at once, as upstreams fail together; the rest accrues over time. */
+    private static final double CAPACITY_FRACTION = 0.75;
+
     /** Validates the numbers. */
     public RetryBudget {
         Validate.notNegative(reserved, "reserved retries");
@@ -35,8 +38,8 @@
     /**
      * Adds the accrued credits and replaces the fixed allowance.
      *
-     * <p>Half of the allowance becomes the capacity, or as much as a single retry needs; the rest accrues over the
-     * window. A budget whose capacity was zero starts with half of the new capacity.
+     * <p>Three quarters of the allowance become the capacity, or as much as a single retry needs; the rest accrues over
+     * the window. A budget whose capacity was zero starts with half of the new capacity.
      *
      * @param allowance the number of retries allowed in a window in addition to the earned ones
      * @param window the length of the window, positive
@@ -44,7 +47,7 @@
      * @return the budget at {@code now} with the new allowance, never null
      */
     public RetryBudget withAllowance(final double allowance, final Duration window, final Instant now) {
-        final double newCapacity = Math.max(allowance / 2, Math.min(allowance, 1));
+        final double newCapacity = Math.max(allowance * CAPACITY_FRACTION, Math.min(allowance, 1));
         final double newPerSecond = (allowance - newCapacity) * NANOSECONDS_PER_SECOND / window.toNanos();
         final double elapsedSeconds =
                 Math.max(0, Duration.between(updatedAt, now).toNanos()) / NANOSECONDS_PER_SECOND;
