Place calls that can be on time first, and keep memory free for kinds alone

Cause: ageing put late calls before those that could still be on time, and memory was kept free for teams, whose calls then only became late in turn. Change: what can be on time goes first, then urgency; the reserve and the forecast apply where routes of a service differ in priority. The test that a late urgent call precedes others asked for the fault; the new one orders four.

--- a/src/main/java/org/lacewingstep/controller/DemandReports.java
+++ b/src/main/java/org/lacewingstep/controller/DemandReports.java
@@ -26,14 +26,15 @@
     private DemandReports() {}
 
     /**
-     * Returns whether the calls of a service differ in urgency and compete for memory of its upstreams.
+     * Returns whether kinds of calls of a service differ in urgency and compete for memory of its upstreams. Memory is
+     * not kept free for teams alone, since the calls of one kind then only become late in turn.
      *
      * @param board the blackboard, not null
      * @param service the service, not null
      * @return true if demand for the service is counted
      */
     static boolean isCounted(final Blackboard board, final ServiceName service) {
-        return board.serving().routing().table().isRanked(service) && memoryTokens(board, service) > 0;
+        return board.serving().routing().table().hasRankedRoutes(service) && memoryTokens(board, service) > 0;
     }
 
     /**
--- a/src/main/java/org/lacewingstep/domain/RoutingTable.java
+++ b/src/main/java/org/lacewingstep/domain/RoutingTable.java
@@ -97,6 +97,18 @@
         return ranked.containsKey(service);
     }
 
+    /**
+     * Returns whether the routes of a service differ in priority, whatever the priorities of the teams.
+     *
+     * @param service the service, not null
+     * @return true if calls on some routes precede calls of the same team on others
+     */
+    public boolean hasRankedRoutes(final ServiceName service) {
+        final List<Precedence> levels = ranked.getOrDefault(service, List.of());
+        return levels.stream()
+                .anyMatch(level -> level.route() != levels.getFirst().route());
+    }
+
     /**
      * Finds the urgency of a call: the position of its precedence among those of the service.
      *
--- a/src/main/java/org/lacewingstep/placement/QueueOrder.java
+++ b/src/main/java/org/lacewingstep/placement/QueueOrder.java
@@ -16,13 +16,15 @@
 
 /**
  * Orders the queued calls of a service. Answers bursts that exceed the capacity of the service: each place that becomes
- * free goes to the most urgent call; among equally urgent ones to a call that can still be on time, then to the team
- * that has fewest calls at the upstreams, then to the oldest call. A call gains one rank of urgency each time it has
- * waited for its latency target, so that calls of no urgency starve.
+ * free goes to a call that can still be on time, and to one that is late only if no other is queued, as every call
+ * would be late otherwise. Among these it goes to the most urgent call, then to the team that has fewest calls at the
+ * upstreams, then to the oldest call. A call gains one rank of urgency each time it has waited for its latency target,
+ * so that late calls of each urgency are placed.
  */
 public final class QueueOrder {
-    private static final Comparator<RankedCall> ORDER = Comparator.comparingLong(RankedCall::rank)
-            .thenComparing(ranked -> !ranked.call().canBeOnTime())
+    private static final Comparator<RankedCall> ORDER = Comparator.comparing(
+                    (RankedCall ranked) -> !ranked.call().canBeOnTime())
+            .thenComparingLong(RankedCall::rank)
             .thenComparingInt(RankedCall::teamPosition)
             .thenComparing(ranked -> ranked.call().receivedAt())
             .thenComparing(ranked -> ranked.call().request().value());
