Fill a team's bucket only beside the units of calls that wait

Cause: a waiting call's units came back on top of a bucket that had been filled to its capacity and spent meanwhile, so a team could pass its bound. Change: the bucket holds the units of calls until they are first sent or end, and fills only up to the rest of its capacity. Measured: AllowanceBucketTest has the case; PressingTeamTest, SharedLoadTest, ReservationTest and RetryBudgetBoundTest pass.

--- a/src/main/java/org/lacewingstep/blackboard/AllowanceChange.java
+++ b/src/main/java/org/lacewingstep/blackboard/AllowanceChange.java
@@ -6,13 +6,21 @@
 /** A change of what is left of a team's rate limit or of a service's retry budget. */
 public sealed interface AllowanceChange {
     /**
-     * A call that was admitted spends units of its team's rate limit.
+     * A call that was admitted spends units of its team's rate limit and waits.
      *
      * @param team the team, not null
      * @param units the number of units
      */
     record Spent(TeamName team, long units) implements AllowanceChange {}
 
+    /**
+     * A call that has spent units no longer waits: it is sent for the first time, or ends unsent.
+     *
+     * @param team the team, not null
+     * @param units the number of units that the call has spent
+     */
+    record Released(TeamName team, long units) implements AllowanceChange {}
+
     /**
      * A call has ended that no upstream has run.
      *
--- a/src/main/java/org/lacewingstep/controller/AllowanceController.java
+++ b/src/main/java/org/lacewingstep/controller/AllowanceController.java
@@ -53,6 +53,8 @@
             final Blackboard board, final AllowanceChange change, final Instant now) {
         return switch (change) {
             case AllowanceChange.Spent(TeamName team, long units) -> withOwnSpending(board, team, units, now);
+            case AllowanceChange.Released(TeamName team, long units) ->
+                withDebit(board, board.serving().allowances(), team, bucket -> bucket.release(units), now);
             case AllowanceChange.Returned(TeamName team, long units) -> withReturned(board, team, units, now);
             case AllowanceChange.FirstSend(ServiceName service) ->
                 withRetryBudget(board, service, budget -> budget.earn(AllowanceShare.retriesPerFirstSend(board)), now);
@@ -114,7 +116,7 @@
             final Blackboard board, final TeamName team, final long units, final Instant now) {
         final AllowanceSection section = board.serving().allowances();
         final Spending spending = section.spent().getOrDefault(team, Spending.NONE);
-        return withDebit(board, section, team, bucket -> bucket.spend(units), now)
+        return withDebit(board, section, team, bucket -> bucket.hold(units), now)
                 .withSpent(section.spent().plus(team, spending.plus(units, now)));
     }
 
--- a/src/main/java/org/lacewingstep/controller/CallCharge.java
+++ b/src/main/java/org/lacewingstep/controller/CallCharge.java
@@ -44,6 +44,23 @@
                         team -> builder.add(new Event.AllowanceChanged(new AllowanceChange.Spent(team, call.units()))));
     }
 
+    /**
+     * Counts the first send of a call, whose units will not come back to a full bucket any more.
+     *
+     * @param call the call before it is sent, not null
+     * @param builder collects the events, not null
+     */
+    static void sendFirst(final Call call, final OutcomeBuilder builder) {
+        builder.add(new Event.AllowanceChanged(new AllowanceChange.FirstSend(call.service())));
+        release(call, builder);
+    }
+
+    private static void release(final Call call, final OutcomeBuilder builder) {
+        call.team()
+                .ifPresent(team ->
+                        builder.add(new Event.AllowanceChanged(new AllowanceChange.Released(team, call.units()))));
+    }
+
     /**
      * Gives back what a call holds that has ended: a retry that was not sent, and the units if no upstream has it.
      *
@@ -73,6 +90,9 @@
      * @param builder collects the event, not null
      */
     static void returnUnits(final Call call, final OutcomeBuilder builder) {
+        if (call.tried().isEmpty()) {
+            release(call, builder);
+        }
         if (!call.mayHaveRun()) {
             call.team()
                     .ifPresent(team ->
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -292,7 +292,7 @@
                 call.parameters().request(), attempt, upstream, call.route().name())));
         prefill.ifPresent(chosen -> builder.add(new Event.UpstreamOccupied(chosen, call.tokens())));
         if (call.tried().isEmpty()) {
-            builder.add(new Event.AllowanceChanged(new AllowanceChange.FirstSend(call.service())));
+            CallCharge.sendFirst(call, builder);
         } else if (attempt > 1) {
             builder.add(new Event.AllowanceChanged(new AllowanceChange.RetrySent(call.service())));
         }
--- a/src/main/java/org/lacewingstep/domain/AllowanceBucket.java
+++ b/src/main/java/org/lacewingstep/domain/AllowanceBucket.java
@@ -15,9 +15,12 @@
  * @param capacity the largest level in units, not negative
  * @param level the number of units at {@code updatedAt}, negative after an overdraft
  * @param pace the units per second that other instances have spent lately, a decaying mean
+ * @param held the units of requests that wait, which may come back; the bucket fills only up to what is left of its
+ *     capacity, not negative
  * @param updatedAt the time for which {@code level} was computed, not null
  */
-public record AllowanceBucket(double unitsPerSecond, double capacity, double level, double pace, Instant updatedAt) {
+public record AllowanceBucket(
+        double unitsPerSecond, double capacity, double level, double pace, double held, Instant updatedAt) {
     private static final double MAX_WAIT_SECONDS = 60;
 
     /** Time constant of the decaying mean; some intervals at which reports of other instances arrive. */
@@ -31,6 +34,7 @@
         Validate.isTrue(capacity >= 0, "capacity", "zero or more");
         Validate.isTrue(level <= capacity, "level", "no more than the capacity");
         Validate.isTrue(pace >= 0, "pace", "zero or more");
+        Validate.isTrue(held >= 0, "held", "zero or more");
         Validate.notNull(updatedAt, "update time");
     }
 
@@ -44,7 +48,7 @@
      */
     public AllowanceBucket(
             final double unitsPerSecond, final double capacity, final double level, final Instant updatedAt) {
-        this(unitsPerSecond, capacity, level, 0, updatedAt);
+        this(unitsPerSecond, capacity, level, 0, 0, updatedAt);
     }
 
     /**
@@ -58,9 +62,10 @@
     public AllowanceBucket withLimits(final double newRate, final double newCapacity, final Instant now) {
         final double elapsedSeconds =
                 Math.max(0, Duration.between(updatedAt, now).toNanos()) / NANOSECONDS_PER_SECOND;
-        final double refilledLevel = Math.min(newCapacity, level + elapsedSeconds * unitsPerSecond);
+        final double highest = Math.max(Math.min(level, newCapacity), newCapacity - held);
+        final double refilledLevel = Math.min(highest, level + elapsedSeconds * unitsPerSecond);
         final double decayedPace = pace * Math.exp(-elapsedSeconds / PACE_SECONDS);
-        return new AllowanceBucket(newRate, newCapacity, refilledLevel, decayedPace, now);
+        return new AllowanceBucket(newRate, newCapacity, refilledLevel, decayedPace, held, now);
     }
 
     /**
@@ -70,7 +75,27 @@
      * @return the bucket after the spending, never null
      */
     public AllowanceBucket spend(final double units) {
-        return new AllowanceBucket(unitsPerSecond, capacity, level - units, pace, updatedAt);
+        return new AllowanceBucket(unitsPerSecond, capacity, level - units, pace, held, updatedAt);
+    }
+
+    /**
+     * Spends the units of a request that waits and may give them back.
+     *
+     * @param units the units of the request
+     * @return the bucket, never null
+     */
+    public AllowanceBucket hold(final double units) {
+        return new AllowanceBucket(unitsPerSecond, capacity, level - units, pace, held + units, updatedAt);
+    }
+
+    /**
+     * Notes that a request no longer waits, since it is sent or has ended.
+     *
+     * @param units the units of the request
+     * @return the bucket, never null
+     */
+    public AllowanceBucket release(final double units) {
+        return new AllowanceBucket(unitsPerSecond, capacity, level, pace, Math.max(0, held - units), updatedAt);
     }
 
     /**
@@ -80,7 +105,7 @@
      * @return the bucket with the units, never null
      */
     public AllowanceBucket giveBack(final double units) {
-        return new AllowanceBucket(unitsPerSecond, capacity, Math.min(capacity, level + units), pace, updatedAt);
+        return new AllowanceBucket(unitsPerSecond, capacity, Math.min(capacity, level + units), pace, held, updatedAt);
     }
 
     /**
@@ -90,7 +115,8 @@
      * @return the bucket after the spending, never null
      */
     public AllowanceBucket spendElsewhere(final double units) {
-        return new AllowanceBucket(unitsPerSecond, capacity, level - units, pace + units / PACE_SECONDS, updatedAt);
+        return new AllowanceBucket(
+                unitsPerSecond, capacity, level - units, pace + units / PACE_SECONDS, held, updatedAt);
     }
 
     /**
--- a/src/test/java/org/lacewingstep/domain/AllowanceBucketTest.java
+++ b/src/test/java/org/lacewingstep/domain/AllowanceBucketTest.java
@@ -46,6 +46,21 @@
         }
     }
 
+    /** Guards against units that come back to a bucket which was full and spent while they were away. */
+    @Test
+    void unitsOfWaitingRequestAreNotReplacedWhileTheyMayComeBack() {
+        final AllowanceBucket waiting = fullBucket().hold(LARGEST_REQUEST);
+        final AllowanceBucket refilled = waiting.withLimits(RATE, CAPACITY, Instant.EPOCH.plusSeconds(60));
+
+        assertThat(refilled.level()).isEqualTo(CAPACITY - LARGEST_REQUEST);
+        assertThat(refilled.release(LARGEST_REQUEST).giveBack(LARGEST_REQUEST).level())
+                .isEqualTo(CAPACITY);
+        assertThat(refilled.release(LARGEST_REQUEST)
+                        .withLimits(RATE, CAPACITY, Instant.EPOCH.plusSeconds(120))
+                        .level())
+                .isEqualTo(CAPACITY);
+    }
+
     @Test
     void aLargeRequestIsNotStarvedBySmallOnes() {
         AllowanceBucket bucket = fullBucket().spend(CAPACITY - 1);
