Accept no version that has given no good response

Cause: whether the version had answered was derived from the number of requests sent to it, which includes those that it refused or that still ran. At the end of the time a version that had run nothing was accepted.

Change: the judgement says whether it has seen a good response.

Result: versionThatHasRunNothingIsRolledBack failed before and passes, with RolloutFleetTest, RolloutRoutingTest and ArchitectureTest.

--- a/src/main/java/org/lacewingstep/controller/RolloutDuty.java
+++ b/src/main/java/org/lacewingstep/controller/RolloutDuty.java
@@ -62,7 +62,7 @@
                 rollout.order(),
                 rollout.plan(),
                 rollout.view().judgement().verdict(),
-                rollout.view().tally().exposed() > rollout.view().tally().bad(),
+                rollout.view().judgement().hasGoodAnswers(),
                 rollout.view().targetPresent(),
                 !others.isEmpty(),
                 others.stream()
--- a/src/main/java/org/lacewingstep/rollout/RolloutDecision.java
+++ b/src/main/java/org/lacewingstep/rollout/RolloutDecision.java
@@ -35,7 +35,7 @@
      * @param order the order in the store, empty for none
      * @param plan the plan in the store, empty for none
      * @param verdict the verdict on the version, not null
-     * @param answered whether the version has given a response
+     * @param answered whether the version has given a good response
      * @param targetPresent whether upstreams of the version accept requests
      * @param othersPresent whether upstreams of other versions are registered
      * @param runningElsewhere number of running calls at other versions
--- a/src/main/java/org/lacewingstep/rollout/VersionJudgement.java
+++ b/src/main/java/org/lacewingstep/rollout/VersionJudgement.java
@@ -132,6 +132,16 @@
         return new VersionJudgement(next, bad ? Verdict.BAD : known);
     }
 
+    /**
+     * Returns whether the version has given a good response.
+     *
+     * @return true if at least one response was neither a failure nor too slow
+     */
+    public boolean hasGoodAnswers() {
+        final Count seen = scores.getOrDefault(ALL_ROUTES, Score.NONE).seen();
+        return seen.answers() > seen.bad();
+    }
+
     private static Score advance(
             final Score known, final Comparison comparison, final double limit, final boolean probing) {
         final Score score = known.withOthers(comparison.others());
--- a/src/test/java/org/lacewingstep/controller/RolloutFleet.java
+++ b/src/test/java/org/lacewingstep/controller/RolloutFleet.java
@@ -78,6 +78,7 @@
         static final Response FAILED = new Response(new CallResult.FailedByUpstream(500), Duration.ofMillis(40));
         static final Response NONE = new Response(new CallResult.Broken(true, false), Duration.ofSeconds(10));
         static final Response SLOW = new Response(new CallResult.Served(), Duration.ofMillis(200));
+        static final Response NOT_RUN = new Response(new CallResult.NotRun(true), Duration.ofMillis(5));
     }
 
     /** An attempt that reached an upstream. */
--- a/src/test/java/org/lacewingstep/controller/RolloutFleetTest.java
+++ b/src/test/java/org/lacewingstep/controller/RolloutFleetTest.java
@@ -225,6 +225,16 @@
         assertThat(fleet.stages()).containsExactly(Stage.PROBING, Stage.SHIFTING, Stage.SUCCEEDED);
     }
 
+    @Test
+    void versionThatHasRunNothingIsRolledBack() {
+        fleet.respond(
+                (upstream, path, at) -> upstream.version().equals(RolloutFleet.NEW) ? Response.NOT_RUN : Response.GOOD);
+        start();
+        fleet.run(LIMIT);
+
+        assertThat(fleet.stages()).containsExactly(Stage.PROBING, Stage.ROLLED_BACK);
+    }
+
     @Test
     void withdrawnOrderIsRolledBack() {
         start();
