Take the start of a rollout from the plan that carries out the order

Cause: a process that read the plan before the order, as a reading by key gives them, set the start of a running rollout to the present time. After all processes were replaced, nobody found the shift due in time. An instance that saw the result of an older order after the next order gave the next one the older start, so its time had run out at once.

Change: the start is that of the plan if the plan carries out the order, and otherwise the time when this instance first saw the order. RolloutFleet gives a new process the latest plan before the latest order.

--- a/src/main/java/org/lacewingstep/controller/RolloutController.java
+++ b/src/main/java/org/lacewingstep/controller/RolloutController.java
@@ -157,11 +157,10 @@
                 .isPresent()) {
             return section;
         }
-        final boolean continued = known.order().isPresent()
-                && known.plan()
-                        .filter(plan -> RolloutDecision.carriesOut(plan, order))
-                        .isPresent();
-        final Instant startedAt = continued ? known.startedAt() : now;
+        final Instant startedAt = known.plan()
+                .filter(plan -> RolloutDecision.carriesOut(plan, order))
+                .map(RolloutPlan::startedAt)
+                .orElse(now);
         final PSet<VersionName> versions = section.established().getOrDefault(order.service(), HashTreePSet.empty());
         final RolloutSection next = section.with(order.service(), known.withOrder(Optional.of(order), startedAt));
         return versions.size() > 1
@@ -191,9 +190,10 @@
         final boolean sameStage = sameRollout && known.plan().get().stage() == plan.stage();
         final Rollout planned = known.withPlan(
                 plan, revision, sameStage ? known.stageSince() : now, sameRollout ? known.view() : View.INITIAL);
-        final Instant startedAt = known.order().isEmpty() || plan.startedAt().isBefore(known.startedAt())
-                ? plan.startedAt()
-                : known.startedAt();
+        final boolean other = known.order()
+                .filter(order -> !RolloutDecision.carriesOut(plan, order))
+                .isPresent();
+        final Instant startedAt = other ? known.startedAt() : plan.startedAt();
         final RolloutSection next = RolloutCounting.withoutOthers(
                 section.with(plan.service(), planned.withOrder(known.order(), startedAt)), plan);
         return plan.stage() == RolloutPlan.Stage.SUCCEEDED
--- a/src/test/java/org/lacewingstep/controller/RolloutFleet.java
+++ b/src/test/java/org/lacewingstep/controller/RolloutFleet.java
@@ -130,7 +130,7 @@
         site.step(new Event.SiteReloaded(policy(site.board().serving().site().bounds())));
         sites.set(index, site);
         timers.get(index).clear();
-        final List<StoreChange> content = new ArrayList<>(written);
+        final List<StoreChange> content = new ArrayList<>(stored());
         content.add(new StoreChange.TableWritten(SiteFixture.table(1, 1_000_000_000), 1));
         upstreams.forEach(upstream -> content.add(new StoreChange.UpstreamRegistered(upstream)));
         members.forEach(member -> content.add(new StoreChange.InstanceRegistered(member)));
@@ -140,6 +140,19 @@
         drain(index);
     }
 
+    /** Lists the latest plan before the latest order, as a reading of the whole store may do. */
+    private List<StoreChange> stored() {
+        final List<StoreChange> content = new ArrayList<>(written);
+        content.removeIf(change -> change instanceof StoreChange.RolloutPlanChanged
+                || change instanceof StoreChange.RolloutOrdered
+                || change instanceof StoreChange.UpstreamRegistered);
+        if (!plans.isEmpty()) {
+            content.add(new StoreChange.RolloutPlanChanged(plans.getLast(), planRevision));
+        }
+        order.ifPresent(last -> content.add(new StoreChange.RolloutOrdered(last)));
+        return content;
+    }
+
     static SitePolicy policy(final SitePolicy base) {
         return new SitePolicy(
                 base.instance(),
@@ -284,6 +297,14 @@
         written.add(change);
     }
 
+    /** Writes the last result once more for an instance that did not know of it. */
+    void writeResultAgain() {
+        final RolloutPlan last = plans.getLast();
+        planRevision = 100 + written.size() + 1;
+        write(new StoreChange.RolloutPlanChanged(
+                last.with(last.stage(), last.tally(), new InstanceName("late")), planRevision));
+    }
+
     /** Orders a rollout; the upstreams of the version start at the same time. */
     void order(final VersionName target, final Duration limit) {
         order = Optional.of(new RolloutOrder(SiteFixture.LEDGER, target, limit, 100 + written.size() + 1));
--- a/src/test/java/org/lacewingstep/controller/RolloutFleetTest.java
+++ b/src/test/java/org/lacewingstep/controller/RolloutFleetTest.java
@@ -235,6 +235,36 @@
         assertThat(fleet.stages()).containsExactly(Stage.PROBING, Stage.ROLLED_BACK);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void rolloutEndsInTimeAfterAllProcessesWereKilledLate(final long seed) {
+        fleet = new RolloutFleet(6, 60, seed);
+        start();
+        fleet.run(Duration.ofSeconds(8));
+        for (int i = 0; i < 6; i++) {
+            fleet.restart(i);
+        }
+        fleet.run(LIMIT.minusSeconds(8));
+
+        assertThat(fleet.stages()).containsExactly(Stage.PROBING, Stage.SHIFTING, Stage.SUCCEEDED);
+    }
+
+    @Test
+    void orderHasItsWholeTimeWhenTheResultOfAnOlderOneArrivesLater() {
+        fleet.respond(
+                (upstream, path, at) -> upstream.version().equals(RolloutFleet.NEW) ? Response.FAILED : Response.GOOD);
+        start();
+        fleet.run(LIMIT);
+        assertThat(fleet.stages()).containsExactly(Stage.PROBING, Stage.ROLLED_BACK);
+        final VersionName third = new VersionName("v3");
+        fleet.order(third, LIMIT);
+        fleet.startUpstreams(third, "third-");
+        fleet.writeResultAgain();
+        fleet.run(LIMIT);
+
+        assertThat(fleet.stages()).endsWith(Stage.PROBING, Stage.SHIFTING, Stage.SUCCEEDED);
+    }
+
     @Test
     void withdrawnOrderIsRolledBack() {
         start();
