Compare failures after the shift with earlier failures only

Cause: the judgement kept one number of bad responses. While versions are probed it includes slow responses, after the shift failures only, so as many failures after the shift as there were slow responses before it were counted as good.

Change: failures and slow responses are counted apart, and what is added is found for each kind.

Result: slowResponsesBeforeTheShiftDoNotHideFailuresAfterIt failed before and passes, with all tests named Rollout and Version, and ArchitectureTest.

--- a/src/main/java/org/lacewingstep/rollout/VersionEvidence.java
+++ b/src/main/java/org/lacewingstep/rollout/VersionEvidence.java
@@ -34,11 +34,21 @@
      * Responses of a version.
      *
      * @param answers number of responses, failed ones included
-     * @param bad number of responses that failed or were too slow
+     * @param failed number of responses that failed
+     * @param slow number of responses that were too slow
      */
-    public record Count(long answers, long bad) {
+    public record Count(long answers, long failed, long slow) {
         /** No responses. */
-        public static final Count NONE = new Count(0, 0);
+        public static final Count NONE = new Count(0, 0, 0);
+
+        /**
+         * Returns the number of bad responses.
+         *
+         * @return the number of responses that failed or were too slow
+         */
+        public long bad() {
+            return failed + slow;
+        }
 
         /**
          * Adds other responses.
@@ -47,7 +57,7 @@
          * @return the sum, never null
          */
         public Count plus(final Count other) {
-            return new Count(answers + other.answers, bad + other.bad);
+            return new Count(answers + other.answers, failed + other.failed, slow + other.slow);
         }
 
         /**
@@ -57,7 +67,7 @@
          * @return the rest, never null
          */
         public Count minus(final Count part) {
-            return new Count(answers - part.answers, bad - part.bad);
+            return new Count(answers - part.answers, failed - part.failed, slow - part.slow);
         }
     }
 
@@ -151,7 +161,7 @@
     }
 
     private static Count count(final AnswerCounts counts, final int slowFrom) {
-        return new Count(counts.answers(), counts.bad(slowFrom));
+        return new Count(counts.answers(), counts.failed(), counts.bad(slowFrom) - counts.failed());
     }
 
     private static int slowFrom(final AnswerCounts others) {
--- a/src/main/java/org/lacewingstep/rollout/VersionJudgement.java
+++ b/src/main/java/org/lacewingstep/rollout/VersionJudgement.java
@@ -93,7 +93,7 @@
                     seen,
                     known,
                     recentAnswers * RECENT_WEIGHT + Math.max(0, added.answers()),
-                    recentBad * RECENT_WEIGHT + Math.max(0, added.bad()));
+                    recentBad * RECENT_WEIGHT + Math.max(0, added.failed()) + Math.max(0, added.slow()));
         }
 
         /** Computes the share of bad responses of the other versions, of all or of recent ones, whichever is larger. */
@@ -146,8 +146,10 @@
             final Score known, final Comparison comparison, final double limit, final boolean probing) {
         final Score score = known.withOthers(comparison.others());
         final Count version = comparison.version();
-        final long bad = Math.max(0, version.bad() - score.seen().bad());
-        final long good = Math.max(0, version.answers() - score.seen().answers() - bad);
+        final Count added = version.minus(score.seen());
+        // Slow responses are not counted at every stage; failures are, so each kind is compared with its own number.
+        final long bad = Math.max(0, added.failed()) + Math.max(0, added.slow());
+        final long good = Math.max(0, added.answers() - bad);
         final double expected = score.expectedBadShare();
         final double suspected = expected + Math.max(probing ? DIFFERENCE : LATER_DIFFERENCE, expected);
         final double sum = score.value()
@@ -155,7 +157,8 @@
                 + good * Math.log((1 - suspected) / (1 - expected));
         final Count seen = new Count(
                 Math.max(version.answers(), score.seen().answers()),
-                Math.max(version.bad(), score.seen().bad()));
+                Math.max(version.failed(), score.seen().failed()),
+                Math.max(version.slow(), score.seen().slow()));
         return new Score(
                 Math.max(0, Math.min(2 * limit, sum)), seen, score.others(), score.recentAnswers(), score.recentBad());
     }
--- a/src/test/java/org/lacewingstep/rollout/VersionJudgementTest.java
+++ b/src/test/java/org/lacewingstep/rollout/VersionJudgementTest.java
@@ -68,6 +68,30 @@
         assertThat(accepted / (double) ROLLOUTS).isLessThanOrEqualTo(0.05);
     }
 
+    @Test
+    void slowResponsesBeforeTheShiftDoNotHideFailuresAfterIt() {
+        final Map<AnswerGroup, AnswerCounts> counts = new HashMap<>();
+        for (int i = 0; i < 1000; i++) {
+            count(counts, OLD, false);
+        }
+        final AnswerGroup group = new AnswerGroup(new ServiceName("ledger"), 1, NEW, "route-1", 0);
+        AnswerCounts sent = AnswerCounts.NONE;
+        for (int i = 0; i < 400; i++) {
+            sent = sent.plusSent().plusServed(Duration.ofMillis(i % 20 == 0 ? 400 : 40));
+        }
+        counts.put(group, sent);
+        VersionJudgement judgement =
+                VersionJudgement.INITIAL.next(VersionEvidence.compare(List.of(counts), NEW, true), true);
+        assertThat(judgement.verdict()).isEqualTo(Verdict.ACCEPTABLE);
+        for (int i = 0; i < 15; i++) {
+            sent = sent.plusSent().plusFailed();
+            counts.put(group, sent);
+            judgement = judgement.next(VersionEvidence.compare(List.of(counts), NEW, false), false);
+        }
+
+        assertThat(judgement.verdict()).isEqualTo(Verdict.BAD);
+    }
+
     @Test
     void lateReportChangesNothing() {
         final AnswerCounts early = AnswerCounts.NONE.plusSent().plusServed(Duration.ofMillis(40));
