Move nothing more to a version while the others are missing for a moment

Cause: a process that read the store while the upstreams of the other versions were missing took the ordered version for an established one and sent it all requests. A plan went on to the shift as soon as no other upstream was known, without a judgement.

Change: the target of a rollout that has not ended is never established. The plan goes on only after four seconds without the others and if the version was found acceptable.

Result: momentWithoutTheOthersMovesNothingToTheVersion failed before for restarted processes and passes, with all tests named Rollout and Version, and ArchitectureTest.

--- a/src/main/java/org/lacewingstep/blackboard/RolloutSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/RolloutSection.java
@@ -133,6 +133,8 @@
      * @param share the share of the requests that this instance sends to the version before it is judged
      * @param probed the upstreams of the version that receive these requests, not null
      * @param targetPresent whether upstreams of the version accept requests
+     * @param othersSeenAt when upstreams of other versions were last registered, the time of the first check if none
+     *     were, not null
      * @param judgement the judgement on the version, not null
      * @param tally the requests to the service, not null
      */
@@ -140,11 +142,12 @@
             double share,
             Set<UpstreamName> probed,
             boolean targetPresent,
+            Instant othersSeenAt,
             VersionJudgement judgement,
             RolloutPlan.Tally tally) {
         /** The view before the first check. */
         public static final View INITIAL =
-                new View(0, Set.of(), false, VersionJudgement.INITIAL, RolloutPlan.Tally.NONE);
+                new View(0, Set.of(), false, Instant.EPOCH, VersionJudgement.INITIAL, RolloutPlan.Tally.NONE);
 
         /** Copies the set. */
         public View {
--- a/src/main/java/org/lacewingstep/controller/RolloutController.java
+++ b/src/main/java/org/lacewingstep/controller/RolloutController.java
@@ -209,7 +209,8 @@
 
     /**
      * Adds the versions of services for which no version was known, and of all services before the instance is ready,
-     * other than versions that an order names.
+     * other than versions that an order names. A version whose rollout has not ended is not added either if there is no
+     * other.
      */
     private static RolloutSection withEstablished(
             final RolloutSection section, final List<StoreChange> changes, final boolean starting) {
@@ -217,7 +218,9 @@
         for (final StoreChange change : changes) {
             if (change instanceof StoreChange.UpstreamRegistered(RegisteredUpstream upstream)
                     && (starting && !hasSucceeded(section, upstream.service())
-                            || !section.established().containsKey(upstream.service()))) {
+                            || section.established()
+                                    .getOrDefault(upstream.service(), HashTreePSet.empty())
+                                    .isEmpty())) {
                 found.merge(upstream.service(), HashTreePSet.singleton(upstream.version()), PSet::plusAll);
             }
         }
@@ -225,8 +228,10 @@
         for (final Map.Entry<ServiceName, PSet<VersionName>> entry : found.entrySet()) {
             final PSet<VersionName> versions =
                     entry.getValue().plusAll(section.established().getOrDefault(entry.getKey(), HashTreePSet.empty()));
-            final PSet<VersionName> others = versions.minusAll(RolloutRouting.targets(section.of(entry.getKey())));
-            established = established.plus(entry.getKey(), others.isEmpty() ? versions : others);
+            final Rollout rollout = section.of(entry.getKey());
+            final PSet<VersionName> others = versions.minusAll(RolloutRouting.targets(rollout));
+            established = established.plus(
+                    entry.getKey(), others.isEmpty() ? versions.minusAll(RolloutRouting.unfinished(rollout)) : others);
         }
         return found.isEmpty() ? section : section.withEstablished(established);
     }
--- a/src/main/java/org/lacewingstep/controller/RolloutDuty.java
+++ b/src/main/java/org/lacewingstep/controller/RolloutDuty.java
@@ -65,6 +65,7 @@
                 rollout.view().judgement().hasGoodAnswers(),
                 rollout.view().targetPresent(),
                 !others.isEmpty(),
+                Duration.between(rollout.view().othersSeenAt(), now),
                 others.stream()
                         .mapToLong(upstream ->
                                 board.serving().use(upstream.name(), now).requests())
--- a/src/main/java/org/lacewingstep/controller/RolloutRouting.java
+++ b/src/main/java/org/lacewingstep/controller/RolloutRouting.java
@@ -235,10 +235,16 @@
                         && entry.upstream().version().equals(plan.target()))
                 .map(Entry::upstream)
                 .toList();
+        final boolean othersPresent = board.serving().registry().upstreams().values().stream()
+                .map(Entry::upstream)
+                .anyMatch(upstream -> upstream.service().equals(plan.service())
+                        && !upstream.version().equals(plan.target()));
+        final Instant othersSeenAt = rollout.view().othersSeenAt();
         return new View(
                 share,
                 probed(targets, plan.order(), Math.max(share, bounds(board).share())),
                 targets.stream().anyMatch(upstream -> upstream.role() != UpstreamRole.PREFILL),
+                othersPresent || othersSeenAt.equals(Instant.EPOCH) ? now : othersSeenAt,
                 judgement,
                 tally);
     }
@@ -280,6 +286,21 @@
         return targets;
     }
 
+    /**
+     * Lists the versions of a service whose rollout is ordered or runs and has not ended.
+     *
+     * @param rollout the rollout, not null
+     * @return the versions, never null
+     */
+    static Set<VersionName> unfinished(final Rollout rollout) {
+        final Set<VersionName> unfinished = new HashSet<>();
+        rollout.plan().filter(plan -> !plan.stage().isFinal()).ifPresent(plan -> unfinished.add(plan.target()));
+        rollout.order()
+                .filter(order -> isAwaited(rollout, order.target()))
+                .ifPresent(order -> unfinished.add(order.target()));
+        return unfinished;
+    }
+
     private static RolloutBounds bounds(final Blackboard board) {
         return board.serving().site().bounds().rollout();
     }
--- a/src/main/java/org/lacewingstep/rollout/RolloutDecision.java
+++ b/src/main/java/org/lacewingstep/rollout/RolloutDecision.java
@@ -27,6 +27,9 @@
     /** Shortest time for which all requests go to the version before the others stop. */
     private static final Duration MIN_SHIFT = Duration.ofMillis(1500);
 
+    /** Time without upstreams of other versions after which they are taken to be gone for good. */
+    private static final Duration OTHERS_ABSENCE = Duration.ofSeconds(4);
+
     private RolloutDecision() {}
 
     /**
@@ -38,6 +41,7 @@
      * @param answered whether the version has given a good response
      * @param targetPresent whether upstreams of the version accept requests
      * @param othersPresent whether upstreams of other versions are registered
+     * @param withoutOthers the time since upstreams of other versions were last registered, not null
      * @param runningElsewhere number of running calls at other versions
      * @param elapsed the time since the order, not null
      * @param inStage the time since the plan has its stage, not null
@@ -49,6 +53,7 @@
             boolean answered,
             boolean targetPresent,
             boolean othersPresent,
+            Duration withoutOthers,
             long runningElsewhere,
             Duration elapsed,
             Duration inStage) {}
@@ -91,7 +96,8 @@
             return Optional.of(Stage.ROLLED_BACK);
         }
         final Duration remaining = remaining(known);
-        if (!known.othersPresent() && known.targetPresent()) {
+        final boolean alone = !known.othersPresent() && known.withoutOthers().compareTo(OTHERS_ABSENCE) >= 0;
+        if (alone && known.targetPresent() && known.verdict() == Verdict.ACCEPTABLE) {
             return Optional.of(Stage.SHIFTING);
         }
         final Duration reserve = shiftReserve(known.order().get().limit());
--- a/src/test/java/org/lacewingstep/controller/RolloutFleet.java
+++ b/src/test/java/org/lacewingstep/controller/RolloutFleet.java
@@ -319,6 +319,21 @@
         }
     }
 
+    /** Removes the upstreams of a version from the store, so that nobody knows them until they are registered again. */
+    List<RegisteredUpstream> loseUpstreams(final VersionName version) {
+        final List<RegisteredUpstream> lost = upstreams.stream()
+                .filter(upstream -> upstream.version().equals(version))
+                .toList();
+        upstreams.removeAll(lost);
+        lost.forEach(upstream -> write(new StoreChange.UpstreamUnregistered(upstream.name())));
+        return lost;
+    }
+
+    void register(final List<RegisteredUpstream> found) {
+        upstreams.addAll(found);
+        found.forEach(upstream -> write(new StoreChange.UpstreamRegistered(upstream)));
+    }
+
     /** Replaces an instance with a new process that knows nothing but the content of the store. */
     void restart(final int index) {
         final Member old = members.get(index);
--- a/src/test/java/org/lacewingstep/controller/RolloutFleetTest.java
+++ b/src/test/java/org/lacewingstep/controller/RolloutFleetTest.java
@@ -15,6 +15,7 @@
 import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.controller.RolloutFleet.Response;
 import org.lacewingstep.controller.RolloutFleet.Sent;
+import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RolloutPlan.Stage;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.VersionName;
@@ -265,6 +266,36 @@
         assertThat(fleet.stages()).endsWith(Stage.PROBING, Stage.SHIFTING, Stage.SUCCEEDED);
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void momentWithoutTheOthersMovesNothingToTheVersion(final boolean restarted) {
+        start();
+        fleet.run(Duration.ofMillis(1500));
+        final List<RegisteredUpstream> lost = fleet.loseUpstreams(RolloutFleet.OLD);
+        fleet.run(Duration.ofMillis(200));
+        if (restarted) {
+            for (int i = 0; i < 6; i++) {
+                fleet.restart(i);
+            }
+        }
+        fleet.run(Duration.ofMillis(800));
+        fleet.register(lost);
+        fleet.run(Duration.ofSeconds(2));
+
+        assertThat(fleet.stages()).containsExactly(Stage.PROBING);
+        assertExposureWithinBounds(Set.of());
+    }
+
+    @Test
+    void versionThatIsLeftAloneReceivesAllRequestsOnceItIsKnownToBeGood() {
+        start();
+        fleet.run(Duration.ofSeconds(2));
+        fleet.loseUpstreams(RolloutFleet.OLD);
+        fleet.run(Duration.ofSeconds(6));
+
+        assertThat(fleet.stages()).startsWith(Stage.PROBING, Stage.SHIFTING);
+    }
+
     @Test
     void withdrawnOrderIsRolledBack() {
         start();
