Condemn no good version for as many slow responses as the others give

Cause: while a version was probed, fifty bad responses alone condemned it. Slow responses are counted among them from 2.8 times the median on, which scattered times reach often.

Change: the fifty decide only if they are also one and a half times as many as the other versions would give.

--- a/src/main/java/org/lacewingstep/rollout/VersionJudgement.java
+++ b/src/main/java/org/lacewingstep/rollout/VersionJudgement.java
@@ -45,7 +45,7 @@
     /** Recent responses of the other versions before their share counts beside that of all. */
     private static final int MIN_RECENT = 10;
 
-    /** Bad responses after which nothing more is sent to the version. */
+    /** Bad responses after which nothing more is sent to the version, if clearly more than expected. */
     private static final int MAX_BAD = 50;
 
     /** Bad responses that more than one part of the version's upstreams has to give. */
@@ -108,7 +108,7 @@
      * Continues the judgement with the responses known now.
      *
      * @param evidence the responses, not null
-     * @param probing whether the version receives a small share only, so that many bad responses alone decide
+     * @param probing whether the version receives a small share only, so that a smaller difference decides
      * @return the next judgement, never null
      */
     public VersionJudgement next(final VersionEvidence evidence, final boolean probing) {
@@ -174,6 +174,7 @@
 
     private static boolean hasManyBad(final Comparison total, final double expected, final boolean probing) {
         final Count version = total.version();
-        return version.bad() >= MAX_BAD && (probing || version.bad() >= 2 * expected * version.answers());
+        final double factor = probing ? SPREAD_FACTOR : 2;
+        return version.bad() >= MAX_BAD && version.bad() >= factor * expected * version.answers();
     }
 }
