--- a/src/main/java/org/lacewingstep/controller/RolloutDuty.java
+++ b/src/main/java/org/lacewingstep/controller/RolloutDuty.java
@@ -62,9 +62,10 @@
                 rollout.order(),
                 rollout.plan(),
                 rollout.view().judgement().verdict(),
-                rollout.view().tally().exposed() > rollout.view().tally().bad(),
+                rollout.view().judgement().hasGoodAnswers(),
                 rollout.view().targetPresent(),
                 !others.isEmpty(),
+                Duration.between(rollout.view().othersSeenAt(), now),
                 others.stream()
                         .mapToLong(upstream ->
                                 board.serving().use(upstream.name(), now).requests())
--- a/src/main/java/org/lacewingstep/rollout/VersionJudgement.java
+++ b/src/main/java/org/lacewingstep/rollout/VersionJudgement.java
@@ -45,7 +45,7 @@
     /** Recent responses of the other versions before their share counts beside that of all. */
     private static final int MIN_RECENT = 10;
 
-    /** Bad responses after which nothing more is sent to the version. */
+    /** Bad responses after which nothing more is sent to the version, if clearly more than expected. */
     private static final int MAX_BAD = 50;
 
     /** Bad responses that more than one part of the version's upstreams has to give. */
@@ -93,7 +93,7 @@
                     seen,
                     known,
                     recentAnswers * RECENT_WEIGHT + Math.max(0, added.answers()),
-                    recentBad * RECENT_WEIGHT + Math.max(0, added.bad()));
+                    recentBad * RECENT_WEIGHT + Math.max(0, added.failed()) + Math.max(0, added.slow()));
         }
 
         /** Computes the share of bad responses of the other versions, of all or of recent ones, whichever is larger. */
@@ -108,7 +108,7 @@
      * Continues the judgement with the responses known now.
      *
      * @param evidence the responses, not null
-     * @param probing whether the version receives a small share only, so that many bad responses alone decide
+     * @param probing whether the version receives a small share only, so that a smaller difference decides
      * @return the next judgement, never null
      */
     public VersionJudgement next(final VersionEvidence evidence, final boolean probing) {
@@ -132,12 +132,24 @@
         return new VersionJudgement(next, bad ? Verdict.BAD : known);
     }
 
+    /**
+     * Returns whether the version has given a good response.
+     *
+     * @return true if at least one response was neither a failure nor too slow
+     */
+    public boolean hasGoodAnswers() {
+        final Count seen = scores.getOrDefault(ALL_ROUTES, Score.NONE).seen();
+        return seen.answers() > seen.bad();
+    }
+
     private static Score advance(
             final Score known, final Comparison comparison, final double limit, final boolean probing) {
         final Score score = known.withOthers(comparison.others());
         final Count version = comparison.version();
-        final long bad = Math.max(0, version.bad() - score.seen().bad());
-        final long good = Math.max(0, version.answers() - score.seen().answers() - bad);
+        final Count added = version.minus(score.seen());
+        // Slow responses are not counted at every stage; failures are, so each kind is compared with its own number.
+        final long bad = Math.max(0, added.failed()) + Math.max(0, added.slow());
+        final long good = Math.max(0, added.answers() - bad);
         final double expected = score.expectedBadShare();
         final double suspected = expected + Math.max(probing ? DIFFERENCE : LATER_DIFFERENCE, expected);
         final double sum = score.value()
@@ -145,7 +157,8 @@
                 + good * Math.log((1 - suspected) / (1 - expected));
         final Count seen = new Count(
                 Math.max(version.answers(), score.seen().answers()),
-                Math.max(version.bad(), score.seen().bad()));
+                Math.max(version.failed(), score.seen().failed()),
+                Math.max(version.slow(), score.seen().slow()));
         return new Score(
                 Math.max(0, Math.min(2 * limit, sum)), seen, score.others(), score.recentAnswers(), score.recentBad());
     }
@@ -161,6 +174,7 @@
 
     private static boolean hasManyBad(final Comparison total, final double expected, final boolean probing) {
         final Count version = total.version();
-        return version.bad() >= MAX_BAD && (probing || version.bad() >= 2 * expected * version.answers());
+        final double factor = probing ? SPREAD_FACTOR : 2;
+        return version.bad() >= MAX_BAD && version.bad() >= factor * expected * version.answers();
     }
 }
--- a/src/test/java/org/lacewingstep/controller/RolloutFleetTest.java
+++ b/src/test/java/org/lacewingstep/controller/RolloutFleetTest.java
@@ -15,6 +15,7 @@
 import org.lacewingstep.blackboard.StoreChange;
 import org.lacewingstep.controller.RolloutFleet.Response;
 import org.lacewingstep.controller.RolloutFleet.Sent;
+import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RolloutPlan.Stage;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.VersionName;
@@ -225,6 +226,76 @@
         assertThat(fleet.stages()).containsExactly(Stage.PROBING, Stage.SHIFTING, Stage.SUCCEEDED);
     }
 
+    @Test
+    void versionThatHasRunNothingIsRolledBack() {
+        fleet.respond(
+                (upstream, path, at) -> upstream.version().equals(RolloutFleet.NEW) ? Response.NOT_RUN : Response.GOOD);
+        start();
+        fleet.run(LIMIT);
+
+        assertThat(fleet.stages()).containsExactly(Stage.PROBING, Stage.ROLLED_BACK);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void rolloutEndsInTimeAfterAllProcessesWereKilledLate(final long seed) {
+        fleet = new RolloutFleet(6, 60, seed);
+        start();
+        fleet.run(Duration.ofSeconds(8));
+        for (int i = 0; i < 6; i++) {
+            fleet.restart(i);
+        }
+        fleet.run(LIMIT.minusSeconds(8));
+
+        assertThat(fleet.stages()).containsExactly(Stage.PROBING, Stage.SHIFTING, Stage.SUCCEEDED);
+    }
+
+    @Test
+    void orderHasItsWholeTimeWhenTheResultOfAnOlderOneArrivesLater() {
+        fleet.respond(
+                (upstream, path, at) -> upstream.version().equals(RolloutFleet.NEW) ? Response.FAILED : Response.GOOD);
+        start();
+        fleet.run(LIMIT);
+        assertThat(fleet.stages()).containsExactly(Stage.PROBING, Stage.ROLLED_BACK);
+        final VersionName third = new VersionName("v3");
+        fleet.order(third, LIMIT);
+        fleet.startUpstreams(third, "third-");
+        fleet.writeResultAgain();
+        fleet.run(LIMIT);
+
+        assertThat(fleet.stages()).endsWith(Stage.PROBING, Stage.SHIFTING, Stage.SUCCEEDED);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void momentWithoutTheOthersMovesNothingToTheVersion(final boolean restarted) {
+        start();
+        fleet.run(Duration.ofMillis(1500));
+        final List<RegisteredUpstream> lost = fleet.loseUpstreams(RolloutFleet.OLD);
+        fleet.run(Duration.ofMillis(200));
+        if (restarted) {
+            for (int i = 0; i < 6; i++) {
+                fleet.restart(i);
+            }
+        }
+        fleet.run(Duration.ofMillis(800));
+        fleet.register(lost);
+        fleet.run(Duration.ofSeconds(2));
+
+        assertThat(fleet.stages()).containsExactly(Stage.PROBING);
+        assertExposureWithinBounds(Set.of());
+    }
+
+    @Test
+    void versionThatIsLeftAloneReceivesAllRequestsOnceItIsKnownToBeGood() {
+        start();
+        fleet.run(Duration.ofSeconds(2));
+        fleet.loseUpstreams(RolloutFleet.OLD);
+        fleet.run(Duration.ofSeconds(6));
+
+        assertThat(fleet.stages()).startsWith(Stage.PROBING, Stage.SHIFTING);
+    }
+
     @Test
     void withdrawnOrderIsRolledBack() {
         start();
