Repeat the last uses of upstreams in early reports of spending

Cause: a report that spending had made early named memory that was reserved 50 ms ago, while its return was reported after 500 ms; half of the reservations are rejected, so free engines seemed full to all instances. Change: an early report repeats the uses of the last one.

--- a/src/main/java/org/lacewingstep/blackboard/UpstreamLoadSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/UpstreamLoadSection.java
@@ -19,18 +19,18 @@
  * @param peers the last report of each other instance, not null
  * @param peerUses the sum of these reports for each upstream that they name, not null
  * @param oldestPeer a time before which none of these reports arrived, not null
- * @param broadcastDue when the next report to the other instances is due, not null
+ * @param broadcast the next report to the other instances, not null
  */
 public record UpstreamLoadSection(
         PMap<UpstreamName, Load> loads,
         PMap<InstanceName, PeerLoad> peers,
         PMap<UpstreamName, UpstreamUse> peerUses,
         Instant oldestPeer,
-        Instant broadcastDue)
+        Broadcast broadcast)
         implements ServingSection {
     /** The initial section of a process. */
     public static final UpstreamLoadSection INITIAL = new UpstreamLoadSection(
-            HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), Instant.MAX, Instant.MAX);
+            HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), Instant.MAX, Broadcast.NONE);
 
     /**
      * Returns the load of this instance at an upstream.
@@ -82,7 +82,7 @@
             }
         }
         final Instant oldest = report.at().isBefore(oldestPeer) ? report.at() : oldestPeer;
-        return new UpstreamLoadSection(loads, peers.plus(instance, report), sums, oldest, broadcastDue);
+        return new UpstreamLoadSection(loads, peers.plus(instance, report), sums, oldest, broadcast);
     }
 
     /**
@@ -100,7 +100,7 @@
         for (final Map.Entry<UpstreamName, UpstreamUse> use : report.uses().entrySet()) {
             sums = withChange(sums, use.getKey(), use.getValue(), UpstreamUse.NONE);
         }
-        return new UpstreamLoadSection(loads, peers.minus(instance), sums, oldestPeer, broadcastDue);
+        return new UpstreamLoadSection(loads, peers.minus(instance), sums, oldestPeer, broadcast);
     }
 
     /**
@@ -123,7 +123,7 @@
                 earliest = at;
             }
         }
-        return new UpstreamLoadSection(next.loads, next.peers, next.peerUses, earliest, broadcastDue);
+        return new UpstreamLoadSection(next.loads, next.peers, next.peerUses, earliest, broadcast);
     }
 
     /**
@@ -133,19 +133,45 @@
      * @return the updated section, never null
      */
     public UpstreamLoadSection withLoads(final PMap<UpstreamName, Load> next) {
-        return new UpstreamLoadSection(next, peers, peerUses, oldestPeer, broadcastDue);
+        return new UpstreamLoadSection(next, peers, peerUses, oldestPeer, broadcast);
     }
 
     /**
-     * Replaces the time of the next report.
+     * Replaces the next report.
      *
-     * @param next when the next report is due, not null
+     * @param next the next report, not null
      * @return the updated section, never null
      */
-    public UpstreamLoadSection withBroadcastDue(final Instant next) {
+    public UpstreamLoadSection withBroadcast(final Broadcast next) {
         return new UpstreamLoadSection(loads, peers, peerUses, oldestPeer, next);
     }
 
+    /**
+     * The next report to the other instances.
+     *
+     * @param due when a report is due, not null
+     * @param usesDue when the uses of upstreams are due; a report before repeats the last ones, not null
+     * @param uses the uses in the last report, not null
+     */
+    public record Broadcast(Instant due, Instant usesDue, Map<UpstreamName, UpstreamUse> uses) {
+        /** No report is due. */
+        public static final Broadcast NONE = new Broadcast(Instant.MAX, Instant.MAX, Map.of());
+
+        /** Copies the map. */
+        public Broadcast {
+            uses = Map.copyOf(uses);
+        }
+
+        /**
+         * Returns whether the report precedes the one in which the uses of upstreams are due.
+         *
+         * @return true if the report repeats the last uses
+         */
+        public boolean isEarly() {
+            return due.isBefore(usesDue);
+        }
+    }
+
     private static PMap<UpstreamName, UpstreamUse> withChange(
             final PMap<UpstreamName, UpstreamUse> sums,
             final UpstreamName upstream,
--- a/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamLoadController.java
@@ -17,6 +17,7 @@
 import org.lacewingstep.blackboard.SiteSection;
 import org.lacewingstep.blackboard.TimerKey;
 import org.lacewingstep.blackboard.UpstreamLoadSection;
+import org.lacewingstep.blackboard.UpstreamLoadSection.Broadcast;
 import org.lacewingstep.blackboard.UpstreamLoadSection.Load;
 import org.lacewingstep.blackboard.UpstreamLoadSection.PeerLoad;
 import org.lacewingstep.domain.Incarnation;
@@ -67,7 +68,7 @@
                 Outcome.of(with(section, name, section.of(name).withBackOff(now.plus(STALL_BACKOFF))));
             case Event.AllowanceChanged(AllowanceChange.Spent(var team, long units))
             when AllowanceShare.isReportedSoon(board, units) ->
-                scheduleBroadcast(section, now.plus(board.serving().site().shortDelay()));
+                scheduleEarlyBroadcast(section, now.plus(board.serving().site().shortDelay()));
             case Event.LoadReportRequested() -> scheduleBroadcast(board, section, now);
             case Event.TimerFired(TimerKey.LoadBroadcast()) -> broadcast(board, now);
             case Event.PeerLoadReported(Incarnation sender, PeerMessage.SiteLoad load) ->
@@ -102,30 +103,39 @@
     /** Schedules a load broadcast after a short delay, so that changes until then are sent together. */
     private static Outcome<UpstreamLoadSection> scheduleBroadcast(
             final Blackboard board, final UpstreamLoadSection section, final Instant now) {
-        return scheduleBroadcast(section, now.plus(board.serving().site().broadcastDelay()));
+        final Instant due = now.plus(board.serving().site().broadcastDelay());
+        final Broadcast known = section.broadcast();
+        final Instant usesDue = known.usesDue().isAfter(due) ? due : known.usesDue();
+        return schedule(section, new Broadcast(earlier(known.due(), usesDue), usesDue, known.uses()));
     }
 
-    private static Outcome<UpstreamLoadSection> scheduleBroadcast(
+    /**
+     * Schedules a load broadcast for what cannot wait. It repeats the uses of the last one, since memory that is
+     * reserved would be known early, and late that it was given back.
+     */
+    private static Outcome<UpstreamLoadSection> scheduleEarlyBroadcast(
             final UpstreamLoadSection section, final Instant due) {
-        if (!section.broadcastDue().isAfter(due)) {
-            return Outcome.of(section);
-        }
+        final Broadcast known = section.broadcast();
+        return schedule(section, new Broadcast(earlier(known.due(), due), known.usesDue(), known.uses()));
+    }
+
+    private static Outcome<UpstreamLoadSection> schedule(final UpstreamLoadSection section, final Broadcast next) {
         final OutcomeBuilder builder = new OutcomeBuilder();
-        builder.add(new Effect.StartTimer(new TimerKey.LoadBroadcast(), due));
-        return builder.outcome(section.withBroadcastDue(due));
+        if (next.due().isBefore(section.broadcast().due())) {
+            builder.add(new Effect.StartTimer(new TimerKey.LoadBroadcast(), next.due()));
+        }
+        return builder.outcome(next.equals(section.broadcast()) ? section : section.withBroadcast(next));
+    }
+
+    private static Instant earlier(final Instant first, final Instant second) {
+        return first.isBefore(second) ? first : second;
     }
 
     private static Outcome<UpstreamLoadSection> broadcast(final Blackboard board, final Instant now) {
         final UpstreamLoadSection section = board.serving().loads();
         final OutcomeBuilder builder = new OutcomeBuilder();
-        final Map<UpstreamName, UpstreamUse> uses = new HashMap<>();
-        section.loads().forEach((name, load) -> {
-            final UpstreamUse running = load.running();
-            final int arrivals = (int) load.recentArrivals(now);
-            if (running.requests() > 0 || arrivals > 0) {
-                uses.put(name, new UpstreamUse(running.requests(), running.tokens(), arrivals));
-            }
-        });
+        final boolean early = section.broadcast().isEarly();
+        final Map<UpstreamName, UpstreamUse> uses = early ? section.broadcast().uses() : uses(section, now);
         final PeerMessage message = new PeerMessage.SiteLoad(
                 uses,
                 AllowanceShare.recentSpending(board, now),
@@ -135,9 +145,21 @@
                 UpstreamSpeeds.reported(board, now),
                 RolloutCounting.reported(board));
         reportReceivers(board, now).forEach(member -> builder.add(new Effect.SendToPeer(member, message)));
-        final Instant due = now.plus(SiteSection.BROADCAST_INTERVAL);
+        final Instant due = early ? section.broadcast().usesDue() : now.plus(SiteSection.BROADCAST_INTERVAL);
         builder.add(new Effect.StartTimer(new TimerKey.LoadBroadcast(), due));
-        return builder.outcome(section.withBroadcastDue(due));
+        return builder.outcome(section.withBroadcast(new Broadcast(due, due, uses)));
+    }
+
+    private static Map<UpstreamName, UpstreamUse> uses(final UpstreamLoadSection section, final Instant now) {
+        final Map<UpstreamName, UpstreamUse> uses = new HashMap<>();
+        section.loads().forEach((name, load) -> {
+            final UpstreamUse running = load.running();
+            final int arrivals = (int) load.recentArrivals(now);
+            if (running.requests() > 0 || arrivals > 0) {
+                uses.put(name, new UpstreamUse(running.requests(), running.tokens(), arrivals));
+            }
+        });
+        return uses;
     }
 
     /** Lists the receivers of a report; a relay sends its own report to itself and passes it on with the others. */
--- a/src/test/java/org/lacewingstep/controller/DecisionWorkTest.java
+++ b/src/test/java/org/lacewingstep/controller/DecisionWorkTest.java
@@ -75,7 +75,7 @@
                 counting(known.peers(), lookups),
                 known.peerUses(),
                 known.oldestPeer(),
-                known.broadcastDue());
+                known.broadcast());
         lookups.set(0);
 
         assertThat(counting.use(name(1), site.now().minusSeconds(1)).requests()).isEqualTo(INSTANCES);
