Call what is kept at engines an estimate, and print nothing in a test

Cause: belief and misbelief are no terms of the field; a test printed a table. Change: names and metric prompts.kept.wrong_estimates; the print is gone, its checks stay. Measured: ScarceRoomTest, KeptPromptTest and SpeedControllerTest pass.

--- a/src/main/java/org/lacewingstep/blackboard/KeptPromptSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/KeptPromptSection.java
@@ -10,10 +10,11 @@
  *
  * @param engines what each start of an engine keeps, not null
  * @param hits the number of prompts that were read as fast as kept parts let expect
- * @param misbeliefs the number of prompts that were read as slowly as if no part were kept
+ * @param wrongEstimates the number of prompts that were read as slowly as if no part were kept
  * @param savedTokens the tokens that were probably not read again
  */
-public record KeptPromptSection(PMap<UpstreamStart, KeptPrompts> engines, long hits, long misbeliefs, long savedTokens)
+public record KeptPromptSection(
+        PMap<UpstreamStart, KeptPrompts> engines, long hits, long wrongEstimates, long savedTokens)
         implements LearnedSection {
     /** The initial section of a process. */
     public static final KeptPromptSection INITIAL = new KeptPromptSection(HashTreePMap.empty(), 0, 0, 0);
@@ -26,7 +27,7 @@
      * @return the copy, never null
      */
     public KeptPromptSection with(final UpstreamStart start, final KeptPrompts kept) {
-        return new KeptPromptSection(engines.plus(start, kept), hits, misbeliefs, savedTokens);
+        return new KeptPromptSection(engines.plus(start, kept), hits, wrongEstimates, savedTokens);
     }
 
     /**
@@ -36,15 +37,15 @@
      * @return the copy, never null
      */
     public KeptPromptSection withHit(final long tokens) {
-        return new KeptPromptSection(engines, hits + 1, misbeliefs, savedTokens + tokens);
+        return new KeptPromptSection(engines, hits + 1, wrongEstimates, savedTokens + tokens);
     }
 
     /**
-     * Copies this section with one more prompt whose parts were wrongly believed to be kept.
+     * Copies this section with one more prompt whose parts were wrongly expected to be kept.
      *
      * @return the copy, never null
      */
-    public KeptPromptSection withMisbelief() {
-        return new KeptPromptSection(engines, hits, misbeliefs + 1, savedTokens);
+    public KeptPromptSection withWrongEstimate() {
+        return new KeptPromptSection(engines, hits, wrongEstimates + 1, savedTokens);
     }
 }
--- a/src/main/java/org/lacewingstep/command/PlatformProcess.java
+++ b/src/main/java/org/lacewingstep/command/PlatformProcess.java
@@ -153,8 +153,8 @@
                 "prompts.kept.hits",
                 () -> () -> control.board().serving().learned().keptPrompts().hits());
         metrics.gauge(
-                "prompts.kept.misbeliefs",
-                () -> () -> control.board().serving().learned().keptPrompts().misbeliefs());
+                "prompts.kept.wrong_estimates",
+                () -> () -> control.board().serving().learned().keptPrompts().wrongEstimates());
         metrics.gauge(
                 "prompts.kept.saved_tokens",
                 () -> () -> control.board().serving().learned().keptPrompts().savedTokens());
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -310,7 +310,7 @@
                 Input.of("urgency", call.urgency().rank()),
                 Input.of("version", board.serving().routing().table().version()),
                 Input.of("running", board.serving().use(upstream.name(), now)),
-                Input.of("kept_tokens", (long) KeptPromptBelief.keptTokens(board, call, prefill.orElse(upstream))),
+                Input.of("kept_tokens", (long) KeptPromptEstimate.keptTokens(board, call, prefill.orElse(upstream))),
                 Input.of("forecast_wait_ms", UpstreamSpeeds.forecastMillis(board, upstream, now)),
                 Input.of("left_ms", Duration.between(now, call.deadline()).toMillis()))));
         builder.add(new Effect.InstructCall(
--- a/src/main/java/org/lacewingstep/controller/KeptPromptController.java
+++ b/src/main/java/org/lacewingstep/controller/KeptPromptController.java
@@ -39,20 +39,20 @@
         final KeptPromptSection section = board.serving().learned().keptPrompts();
         return switch (event) {
             case Event.PrefillEnded(RequestIdentifier request, int attempt, CallResult.Served served) ->
-                Outcome.of(KeptPromptBelief.findCall(board, request)
+                Outcome.of(KeptPromptEstimate.findCall(board, request)
                         .flatMap(call -> prefillUpstream(call, attempt)
                                 .flatMap(name -> UpstreamChoice.findRegistered(board, name))
                                 .map(upstream -> withPrompt(board, section, call, upstream)))
                         .orElse(section));
             case Event.CallAttemptEnded(RequestIdentifier request, int attempt, CallResult.Served served) ->
-                Outcome.of(KeptPromptBelief.findCall(board, request)
+                Outcome.of(KeptPromptEstimate.findCall(board, request)
                         .flatMap(call -> readingUpstream(call, attempt)
                                 .flatMap(name -> UpstreamChoice.findRegistered(board, name))
                                 .filter(upstream -> upstream.role() == UpstreamRole.DECODE)
                                 .map(upstream -> withPrompt(board, section, call, upstream)))
                         .orElse(section));
             case Event.WorkMeasured(WorkMeasurement work) ->
-                Outcome.of(KeptPromptBelief.findCall(board, work.request())
+                Outcome.of(KeptPromptEstimate.findCall(board, work.request())
                         .filter(call -> work.kind() == WorkKind.PROMPT_TOKEN)
                         .flatMap(call -> UpstreamChoice.findRegistered(
                                         board, work.start().upstream())
@@ -102,8 +102,8 @@
             final RegisteredUpstream upstream,
             final WorkMeasurement work,
             final Instant now) {
-        final double kept = KeptPromptBelief.keptTokens(board, call, upstream);
-        final long prompt = KeptPromptBelief.promptTokens(call);
+        final double kept = KeptPromptEstimate.keptTokens(board, call, upstream);
+        final long prompt = KeptPromptEstimate.promptTokens(call);
         if (kept < MIN_SHOWN_FRACTION * prompt || kept == 0 || !work.start().equals(start(upstream))) {
             return section;
         }
@@ -115,7 +115,7 @@
                             section.engines()
                                     .get(work.start())
                                     .without(call.parameters().segments()))
-                    .withMisbelief();
+                    .withWrongEstimate();
         }
         return seconds <= (prompt - kept / 2) * secondsPerToken ? section.withHit((long) kept) : section;
     }
@@ -133,6 +133,6 @@
                 .min(Comparator.comparingLong(entry -> entry.getValue().readTokens()))
                 .orElseThrow()
                 .getKey());
-        return new KeptPromptSection(engines, section.hits(), section.misbeliefs(), section.savedTokens());
+        return new KeptPromptSection(engines, section.hits(), section.wrongEstimates(), section.savedTokens());
     }
 }
--- a/src/main/java/org/lacewingstep/controller/KeptPromptBelief.java
+++ b/src/main/java/org/lacewingstep/controller/KeptPromptEstimate.java
@@ -16,8 +16,8 @@
 import org.lacewingstep.placement.UpstreamForecast;
 
 /** Estimates how much of a prompt an engine keeps, and what that saves. */
-final class KeptPromptBelief {
-    private KeptPromptBelief() {}
+final class KeptPromptEstimate {
+    private KeptPromptEstimate() {}
 
     /**
      * Estimates how many tokens of a call's prompt an engine keeps.
--- a/src/main/java/org/lacewingstep/controller/SpeedController.java
+++ b/src/main/java/org/lacewingstep/controller/SpeedController.java
@@ -32,7 +32,7 @@
     /** Half-lives after which a reported sum counts nothing. */
     private static final int FORGOTTEN_HALF_LIVES = 20;
 
-    /** Shortest duration of a unit of work that is believed. */
+    /** Shortest duration of a unit of work that is counted; a shorter one is an error of measurement. */
     private static final double MIN_SECONDS = 1e-7;
 
     @Override
@@ -97,7 +97,7 @@
             case PLAIN_CALL ->
                 board.serving().site().isRelayed() ? 1 : Math.max(1, use.requests() / (double) upstream.slots());
             case PROMPT_TOKEN ->
-                KeptPromptBelief.findCall(board, measured.request())
+                KeptPromptEstimate.findCall(board, measured.request())
                         .map(call -> promptUnits(board, call, upstream, use))
                         .orElse(0.0);
         };
@@ -105,7 +105,8 @@
 
     private static double promptUnits(
             final Blackboard board, final Call call, final RegisteredUpstream upstream, final UpstreamUse use) {
-        final double read = KeptPromptBelief.promptTokens(call) - KeptPromptBelief.keptTokens(board, call, upstream);
+        final double read =
+                KeptPromptEstimate.promptTokens(call) - KeptPromptEstimate.keptTokens(board, call, upstream);
         final boolean queues = upstream.role() == UpstreamRole.PREFILL
                 && !board.serving().site().isRelayed();
         return queues ? Math.max(read, use.tokens()) : read;
--- a/src/main/java/org/lacewingstep/controller/UpstreamCost.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamCost.java
@@ -53,7 +53,7 @@
         return UpstreamSpeeds.slowness(board, upstream, now)
                         * (1
                                 + requests(board, call, upstream, now)
-                                - KeptPromptBelief.savedFraction(board, call, upstream, now))
+                                - KeptPromptEstimate.savedFraction(board, call, upstream, now))
                 + FAILURE_PENALTY * load.failureShare()
                 + (upstream.failureDomain().equals(preferredDomain) ? 0 : REMOTE_DOMAIN_PENALTY)
                 + (load.avoidUntil().isAfter(now) ? BACKOFF_PENALTY : 0)
--- a/src/main/java/org/lacewingstep/domain/KeptPrompts.java
+++ b/src/main/java/org/lacewingstep/domain/KeptPrompts.java
@@ -85,14 +85,14 @@
      */
     public double keptTokens(final List<PromptSegment> prompt, final double memoryTokens) {
         double kept = 0;
-        double belief = 1;
+        double chance = 1;
         for (final PromptSegment segment : prompt) {
             final KeptPart part = parts.get(segment.part());
             if (part == null) {
                 return kept;
             }
-            belief = Math.min(belief, Math.max(0, 1 - (readTokens - part.readTokens()) / memoryTokens));
-            kept += belief * segment.tokens();
+            chance = Math.min(chance, Math.max(0, 1 - (readTokens - part.readTokens()) / memoryTokens));
+            kept += chance * segment.tokens();
         }
         return kept;
     }
--- a/src/test/java/org/lacewingstep/controller/KeptPromptTest.java
+++ b/src/test/java/org/lacewingstep/controller/KeptPromptTest.java
@@ -86,7 +86,7 @@
         }
         site.advanceClock(Duration.ofMillis(1100));
 
-        assertThat(KeptPromptBelief.savedFraction(site.board(), find(call("head")), upstream(holder), site.now()))
+        assertThat(KeptPromptEstimate.savedFraction(site.board(), find(call("head")), upstream(holder), site.now()))
                 .isGreaterThan(0.1);
         assertThat(UpstreamCost.of(
                         site.board(), find(call("head")), entry(holder), SiteFixture.LOCAL_DOMAIN, site.now()))
@@ -95,7 +95,7 @@
     }
 
     @Test
-    void wrongBeliefEndsWhenTheEngineReadsTheWholePrompt() {
+    void wrongEstimateEndsWhenTheEngineReadsTheWholePrompt() {
         final UpstreamName holder = read("head");
         for (int i = 0; i < 4; i++) {
             measure(call("other" + i), other(holder), 100);
@@ -106,7 +106,8 @@
         measure(request, holder, 150);
 
         assertThat(kept(request, holder)).isZero();
-        assertThat(site.board().serving().learned().keptPrompts().misbeliefs()).isEqualTo(1);
+        assertThat(site.board().serving().learned().keptPrompts().wrongEstimates())
+                .isEqualTo(1);
     }
 
     @Test
@@ -147,7 +148,7 @@
         final RequestIdentifier request = new RequestIdentifier("without parts");
         arrive(request, List.of());
 
-        assertThat(KeptPromptBelief.savedFraction(site.board(), find(request), upstream(holder), site.now()))
+        assertThat(KeptPromptEstimate.savedFraction(site.board(), find(request), upstream(holder), site.now()))
                 .isZero();
     }
 
@@ -189,11 +190,11 @@
     }
 
     private Call find(final RequestIdentifier request) {
-        return KeptPromptBelief.findCall(site.board(), request).orElseThrow();
+        return KeptPromptEstimate.findCall(site.board(), request).orElseThrow();
     }
 
     private double kept(final RequestIdentifier request, final UpstreamName engine) {
-        return KeptPromptBelief.keptTokens(site.board(), find(request), upstream(engine));
+        return KeptPromptEstimate.keptTokens(site.board(), find(request), upstream(engine));
     }
 
     private void measure(final RequestIdentifier request, final UpstreamName name, final int milliseconds) {
--- a/src/test/java/org/lacewingstep/controller/ScarceRoomTest.java
+++ b/src/test/java/org/lacewingstep/controller/ScarceRoomTest.java
@@ -25,8 +25,6 @@
 
         final List<PlayedCall> calls = site.play(Duration.ofSeconds(6), BURST, 1);
         site.play(Duration.ofSeconds(6), USUAL, 1);
-
-        print("burst", calls);
         assertThat(onTime(calls, 0)).isGreaterThan(0.9);
         assertThat(onTime(calls, 1)).isGreaterThan(0.9);
         assertNothingStarves(calls);
@@ -39,8 +37,6 @@
 
         final List<PlayedCall> calls = site.play(Duration.ofSeconds(6), BURST, 7);
         site.play(Duration.ofSeconds(6), USUAL, 1);
-
-        print("pressing", calls);
         assertThat(CompetingCalls.share(calls, call -> call.team > 0, SERVED))
                 .isGreaterThan(CompetingCalls.share(calls, call -> call.team == 0, SERVED));
         assertNothingStarves(calls);
@@ -56,8 +52,6 @@
         final List<PlayedCall> calls = site.play(Duration.ofSeconds(5), BURST, 1);
         final List<PlayedCall> after = site.play(Duration.ofSeconds(6), USUAL, 1);
         site.play(Duration.ofSeconds(6), USUAL, 1);
-
-        print("no reports", calls);
         assertNothingStarves(calls);
         assertThat(CompetingCalls.share(after, ANY, PlayedCall::onTime)).isGreaterThan(0.9);
     }
@@ -88,8 +82,6 @@
 
         final List<PlayedCall> calls = site.play(Duration.ofSeconds(4), BURST, 1);
         site.play(Duration.ofSeconds(6), USUAL, 1);
-
-        print("clock", calls);
         assertNothingStarves(calls);
         assertThat(onTime(calls, 0)).isGreaterThan(onTime(calls, 2));
     }
@@ -118,20 +110,4 @@
     private static double onTime(final List<PlayedCall> calls, final int urgency) {
         return CompetingCalls.share(calls, call -> call.urgency == urgency, PlayedCall::onTime);
     }
-
-    private static void print(final String name, final List<PlayedCall> calls) {
-        for (int i = 0; i < CompetingCalls.TARGETS.size(); i++) {
-            final int urgency = i;
-            final Predicate<PlayedCall> kind = call -> call.urgency == urgency;
-            System.out.printf(
-                    "%s urgency %d: on time %.2f served %.2f, refused after %d ms%n",
-                    name, urgency, onTime(calls, urgency), CompetingCalls.share(calls, kind, SERVED), (long)
-                            calls.stream()
-                                    .filter(kind)
-                                    .flatMap(call -> call.refused.stream())
-                                    .mapToLong(Duration::toMillis)
-                                    .average()
-                                    .orElse(0));
-        }
-    }
 }
