Log by what an upstream's departure is known and how old the registry is

Cause: the log could not tell whether a request reached a leaving upstream because the departure was late, because a relay's registry was, or because the choice was older than the departure. Change: the lines of upstreams name the store's revision and the one known before, placement names the age of the registry, and a prompt that is processed late and a call that is not sent after all have lines. The lines of exchanges move to ExchangeLog, those of placement to SentCallLog.

--- a/src/main/java/org/lacewingstep/blackboard/RegistrySection.java
+++ b/src/main/java/org/lacewingstep/blackboard/RegistrySection.java
@@ -20,13 +20,17 @@
  * @param pools the names of the upstreams of each service and role, in order, not null
  * @param revision the store's revision up to which changes were applied, empty before the first read and after changes
  *     were missed
+ * @param checkedAt when changes up to the revision were received, or that there are none, not null
  */
 public record RegistrySection(
-        PMap<UpstreamName, Entry> upstreams, PMap<Pool, PVector<UpstreamName>> pools, Optional<Long> revision)
+        PMap<UpstreamName, Entry> upstreams,
+        PMap<Pool, PVector<UpstreamName>> pools,
+        Optional<Long> revision,
+        Instant checkedAt)
         implements ServingSection {
     /** The initial section of a process. */
     public static final RegistrySection INITIAL =
-            new RegistrySection(HashTreePMap.empty(), HashTreePMap.empty(), Optional.empty());
+            new RegistrySection(HashTreePMap.empty(), HashTreePMap.empty(), Optional.empty(), Instant.EPOCH);
 
     /**
      * Lists the upstreams of a service that have a role.
@@ -50,13 +54,13 @@
         final Entry known = upstreams.get(name);
         final PMap<UpstreamName, Entry> next = upstreams.plus(name, entry);
         if (known != null && Pool.of(known.upstream()).equals(Pool.of(entry.upstream()))) {
-            return new RegistrySection(next, pools, revision);
+            return new RegistrySection(next, pools, revision, checkedAt);
         }
         final PMap<Pool, PVector<UpstreamName>> others = known == null ? pools : poolsWithout(known.upstream());
         final Pool pool = Pool.of(entry.upstream());
         final PVector<UpstreamName> names = others.getOrDefault(pool, TreePVector.empty());
         final int position = -Collections.binarySearch(names, name) - 1;
-        return new RegistrySection(next, others.plus(pool, names.plus(position, name)), revision);
+        return new RegistrySection(next, others.plus(pool, names.plus(position, name)), revision, checkedAt);
     }
 
     /**
@@ -69,17 +73,27 @@
         final Entry known = upstreams.get(name);
         return known == null
                 ? this
-                : new RegistrySection(upstreams.minus(name), poolsWithout(known.upstream()), revision);
+                : new RegistrySection(upstreams.minus(name), poolsWithout(known.upstream()), revision, checkedAt);
     }
 
     /**
-     * Replaces the revision.
+     * Replaces the revision after all changes up to it were applied.
      *
-     * @param next the store's revision up to which changes were applied, empty if changes were missed
+     * @param next the store's revision up to which changes were applied
+     * @param receivedAt when the changes were received, or that there are none, not null
      * @return the updated section, never null
      */
-    public RegistrySection withRevision(final Optional<Long> next) {
-        return new RegistrySection(upstreams, pools, next);
+    public RegistrySection withRevision(final long next, final Instant receivedAt) {
+        return new RegistrySection(upstreams, pools, Optional.of(next), receivedAt);
+    }
+
+    /**
+     * Removes the revision after changes were missed.
+     *
+     * @return the updated section, never null
+     */
+    public RegistrySection withoutRevision() {
+        return new RegistrySection(upstreams, pools, Optional.empty(), checkedAt);
     }
 
     private PMap<Pool, PVector<UpstreamName>> poolsWithout(final RegisteredUpstream upstream) {
--- a/src/main/java/org/lacewingstep/controller/CallPlacement.java
+++ b/src/main/java/org/lacewingstep/controller/CallPlacement.java
@@ -296,23 +296,7 @@
         } else if (attempt > 1) {
             builder.add(new Event.AllowanceChanged(new AllowanceChange.RetrySent(call.service())));
         }
-        builder.add(new Effect.Log(Decision.on(
-                "placement",
-                call.parameters().request(),
-                "sent",
-                Input.of("route", call.route().name()),
-                Input.of("upstream", upstream.name()),
-                Input.of(
-                        "prefill_upstream",
-                        prefill.map(chosen -> chosen.name().value()).orElse("none")),
-                Input.of("attempt", attempt),
-                Input.of("team", call.team().map(Object::toString).orElse("none")),
-                Input.of("urgency", call.urgency().rank()),
-                Input.of("version", board.serving().routing().table().version()),
-                Input.of("running", board.serving().use(upstream.name(), now)),
-                Input.of("kept_tokens", (long) KeptPromptEstimate.keptTokens(board, call, prefill.orElse(upstream))),
-                Input.of("forecast_wait_ms", UpstreamSpeeds.forecastMillis(board, upstream, now)),
-                Input.of("left_ms", Duration.between(now, call.deadline()).toMillis()))));
+        builder.add(SentCallLog.create(board, call, attempt, upstream, prefill, now));
         builder.add(new Effect.InstructCall(
                 call.parameters().request(),
                 sendInstruction(board, call, attempt, upstream, prefill, promptKept, now)));
--- a/src/main/java/org/lacewingstep/controller/RegistryController.java
+++ b/src/main/java/org/lacewingstep/controller/RegistryController.java
@@ -69,14 +69,14 @@
         for (final UpstreamName name : registry.upstreams().keySet()) {
             next = withMissing(next, name, now);
         }
-        next = apply(next, content, now, builder);
+        next = apply(next, content, revision, now, builder);
         builder.add(new Effect.Log(Decision.of(
                 "registry",
                 "read",
                 Input.of("revision", revision),
                 Input.of("upstreams", next.upstreams().size()))));
         builder.add(new Effect.AwaitStoreChanges(revision, WATCH_TIMEOUT));
-        return builder.outcome(withoutExpired(next, now).withRevision(Optional.of(revision)));
+        return builder.outcome(withoutExpired(next, now).withRevision(revision, now));
     }
 
     /** Applies changes and delays the next watch to batch the frequent upstream writes; each request has a cost. */
@@ -84,11 +84,11 @@
             final Blackboard board, final List<StoreChange> changes, final long revision, final Instant now) {
         final RegistrySection registry = board.serving().registry();
         final OutcomeBuilder builder = new OutcomeBuilder();
-        final RegistrySection next = apply(registry, changes, now, builder);
+        final RegistrySection next = apply(registry, changes, revision, now, builder);
         builder.add(new Effect.StartTimer(
                 new TimerKey.StoreWatch(),
                 now.plus(RelayPolicy.pause(board, RELAYED_WATCH_INTERVAL, SITE_WATCHES_PER_SECOND, now))));
-        return builder.outcome(withoutExpired(next, now).withRevision(Optional.of(revision)));
+        return builder.outcome(withoutExpired(next, now).withRevision(revision, now));
     }
 
     private static Outcome<RegistrySection> handleFailedWatch(
@@ -102,7 +102,7 @@
                 Input.of("revision", registry.revision().map(String::valueOf).orElse("none")))));
         if (historyLost) {
             builder.add(new Effect.ReadStore());
-            return builder.outcome(registry.withRevision(Optional.empty()));
+            return builder.outcome(registry.withoutRevision());
         }
         final Duration pause = board.serving().site().isRelayed()
                 ? RelayPolicy.pause(board, RETRY_INTERVAL, SITE_WATCHES_PER_SECOND, now)
@@ -127,15 +127,21 @@
     private static RegistrySection apply(
             final RegistrySection registry,
             final List<StoreChange> changes,
+            final long revision,
             final Instant now,
             final OutcomeBuilder builder) {
         RegistrySection next = registry;
         for (final StoreChange change : changes) {
             next = switch (change) {
                 case StoreChange.UpstreamRegistered(RegisteredUpstream upstream) ->
-                    withRegistered(next, upstream, builder);
+                    withRegistered(next, upstream, revision, builder);
                 case StoreChange.UpstreamUnregistered(UpstreamName name) -> {
-                    builder.add(new Effect.Log(Decision.of("upstream", "missing", Input.of("upstream", name))));
+                    builder.add(new Effect.Log(Decision.of(
+                            "upstream",
+                            "missing",
+                            Input.of("upstream", name),
+                            Input.of("revision", revision),
+                            Input.of("known_revision", registry.revision().orElse(0L)))));
                     yield withMissing(next, name, now);
                 }
                 default -> next;
@@ -145,7 +151,10 @@
     }
 
     private static RegistrySection withRegistered(
-            final RegistrySection registry, final RegisteredUpstream upstream, final OutcomeBuilder builder) {
+            final RegistrySection registry,
+            final RegisteredUpstream upstream,
+            final long revision,
+            final OutcomeBuilder builder) {
         final Entry known = registry.upstreams().get(upstream.name());
         if (known == null || !known.upstream().equals(upstream)) {
             builder.add(new Effect.Log(Decision.of(
@@ -154,7 +163,9 @@
                     Input.of("upstream", upstream.name()),
                     Input.of("role", upstream.role()),
                     Input.of("address", upstream.address()),
-                    Input.of("cold_ms", upstream.coldFor().toMillis()))));
+                    Input.of("cold_ms", upstream.coldFor().toMillis()),
+                    Input.of("revision", revision),
+                    Input.of("known_revision", registry.revision().orElse(0L)))));
         }
         return registry.with(new Entry(upstream, Optional.empty()));
     }
--- a/src/main/java/org/lacewingstep/traffic/AttemptTimer.java
+++ b/src/main/java/org/lacewingstep/traffic/AttemptTimer.java
@@ -67,13 +67,22 @@
         return firstEventAt.map(first -> Duration.between(first, lastEventAt));
     }
 
+    /**
+     * Returns the time since the last request to an upstream.
+     *
+     * @return the time, never null
+     */
+    Duration elapsed() {
+        return Duration.between(sentAt, openCalls.now());
+    }
+
     /**
      * Posts how long an upstream took to process the prompt.
      *
      * @param upstream the upstream, not null
      */
     void postPrompt(final RegisteredUpstream upstream) {
-        post(upstream, WorkKind.PROMPT_TOKEN, 1, Duration.between(sentAt, openCalls.now()));
+        post(upstream, WorkKind.PROMPT_TOKEN, 1, elapsed());
     }
 
     /**
@@ -83,7 +92,7 @@
      */
     void postCall(final RegisteredUpstream upstream) {
         if (upstream.role() == UpstreamRole.PLAIN) {
-            post(upstream, WorkKind.PLAIN_CALL, 1, Duration.between(sentAt, openCalls.now()));
+            post(upstream, WorkKind.PLAIN_CALL, 1, elapsed());
         }
     }
 
--- a/src/main/java/org/lacewingstep/traffic/CallSession.java
+++ b/src/main/java/org/lacewingstep/traffic/CallSession.java
@@ -31,8 +31,6 @@
 import org.lacewingstep.upstream.ResponseCollector;
 import org.lacewingstep.upstream.UpstreamExchange;
 import org.lacewingstep.upstream.UpstreamPool;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import ratpack.exec.Downstream;
 
 /**
@@ -43,7 +41,6 @@
     /** Longest event of a stream, in bytes, of which a part is kept until the rest arrives. */
     private static final int MAX_EVENT_BYTES = 256 * 1024;
 
-    private static final Logger LOGGER = LoggerFactory.getLogger(CallSession.class);
     private static final int HTTP_OK = 200;
 
     private final OpenCalls openCalls;
@@ -56,6 +53,7 @@
     private final RequestIdentifier request;
     private final ExchangeRequests requests;
     private final AttemptTimer timer;
+    private final ExchangeLog log;
 
     private Downstream<? super CallResponse> responseReceiver;
     private boolean ended;
@@ -90,6 +88,7 @@
         this.receivedAt = openCalls.now();
         this.requests = new ExchangeRequests(openCalls, callerRequest);
         this.timer = new AttemptTimer(openCalls, request);
+        this.log = new ExchangeLog(request);
         this.reservation = new EngineReservation(openCalls, pool, request);
         this.relay = new EventRelay(openCalls.protocol().lastReceivedEvent(callerRequest));
     }
@@ -199,6 +198,7 @@
                 openCalls.protocol().decodePrefillResponse(upstream.address(), response.body());
         prefillReference = kvCacheReference;
         kvCacheReference.ifPresent(reference -> timer.postPrompt(upstream));
+        log.promptProcessed(instruction.upstream(), timer.elapsed());
         openCalls.post(new Event.PrefillEnded(
                 request,
                 instruction.attempt(),
@@ -218,6 +218,7 @@
         responseBody = new ByteArrayOutputStream();
         relay.discardPartialEvent();
         if (!openCalls.acceptsRequests(instruction.upstream())) {
+            log.notSent(instruction.upstream());
             postAttemptEnd(new CallResult.NotRun(false));
             return;
         }
@@ -377,12 +378,7 @@
 
     private void recordFailure(final RegisteredUpstream upstream, final ExchangeEvent.Failed failed) {
         openCalls.metrics().countUpstreamFailure();
-        LOGGER.atInfo()
-                .addKeyValue("step", "exchange")
-                .addKeyValue("request", request)
-                .addKeyValue("upstream", upstream.name())
-                .addKeyValue("sent", failed.sent())
-                .log("exchange failed: {}", failed.reason());
+        log.failed(upstream, failed);
     }
 
     private void end(final int status) {
--- a/src/test/java/org/lacewingstep/controller/DecisionWorkTest.java
+++ b/src/test/java/org/lacewingstep/controller/DecisionWorkTest.java
@@ -158,7 +158,8 @@
     private Blackboard countingRegistry(final SiteFixture site) {
         final RegistrySection known = site.board().serving().registry();
         return site.board()
-                .with(new RegistrySection(counting(known.upstreams(), lookups), known.pools(), known.revision()));
+                .with(new RegistrySection(
+                        counting(known.upstreams(), lookups), known.pools(), known.revision(), known.checkedAt()));
     }
 
     /** Counts the calls of any method of a map. */
