--- a/src/test/java/org/lacewingstep/controller/RelayFleet.java
+++ b/src/test/java/org/lacewingstep/controller/RelayFleet.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,6 +23,7 @@
 import org.lacewingstep.domain.PeerAddress;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.RoutingTable;
+import org.lacewingstep.domain.UpstreamName;
 
 /** Runs the real controllers of many instances against a simulated store and network in virtual time. */
 final class RelayFleet {
@@ -33,6 +35,7 @@
     private final List<Member> members = new ArrayList<>();
     private final List<Map<TimerKey, Instant>> timers = new ArrayList<>();
     private final List<WrittenChange> written = new ArrayList<>();
+    private final Map<UpstreamName, RegisteredUpstream> registered = new LinkedHashMap<>();
     private final Map<Integer, Instant> cutUntil = new HashMap<>();
     private final Map<Integer, Instant> suspendedUntil = new HashMap<>();
     private final Map<Integer, Instant> suspendedSince = new HashMap<>();
@@ -44,6 +47,7 @@
     private int calls;
     private Instant now;
     private Instant peersCutUntil = Instant.EPOCH;
+    private Instant watchesSilentUntil = Instant.EPOCH;
     private double lostShare;
     private double repeatedShare;
     private long revision = 100;
@@ -86,10 +90,12 @@
         for (final Member member : members) {
             final SiteFixture site = new SiteFixture(member, true, rateSlack);
             site.readStore(table, upstreams);
+            site.effects().remove(new Effect.ReadStore());
             site.changeStore(present);
             sites.add(site);
             timers.add(new HashMap<>());
         }
+        upstreams.forEach(upstream -> registered.put(upstream.name(), upstream));
         now = sites.getFirst().now();
         revision = 101;
         for (int i = 0; i < instances; i++) {
@@ -148,6 +154,7 @@
                             new Event.PeerMessageReceived(members.get(index).incarnation(), message));
                 case Effect.ConfirmTable(long known) -> confirm(index, known);
                 case Effect.AwaitStoreChanges(long known, Duration wait) -> watch(index, known, wait);
+                case Effect.ReadStore() -> read(index);
                 default -> {}
             }
         }
@@ -186,6 +193,11 @@
                     now.plus(wait).plusMillis(800), index, new Event.StoreWatchFailed(false, "no response")));
             return;
         }
+        if (watchesSilentUntil.isAfter(now)) {
+            deliveries.add(new Delivery(
+                    watchesSilentUntil.plusMillis(4), index, new Event.StoreWatchFailed(true, "history lost")));
+            return;
+        }
         final List<StoreChange> changes = written.stream()
                 .filter(change -> change.revision() > known)
                 .map(WrittenChange::change)
@@ -194,6 +206,21 @@
         deliveries.add(new Delivery(now.plus(delay), index, new Event.StoreChanged(changes, revision)));
     }
 
+    private void read(final int index) {
+        count(index);
+        final Instant requestedAt = sites.get(index).now();
+        if (isActive(cutUntil, index)) {
+            deliveries.add(new Delivery(now.plusMillis(800), index, new Event.StoreWatchFailed(false, "no response")));
+            return;
+        }
+        final List<StoreChange> content = new ArrayList<>();
+        content.add(new StoreChange.TableWritten(table, tableRevision));
+        members.forEach(member -> content.add(new StoreChange.InstanceRegistered(member)));
+        registered.values().forEach(upstream -> content.add(new StoreChange.UpstreamRegistered(upstream)));
+        deliveries.add(new Delivery(
+                now.plusMillis(8 + random.nextInt(8)), index, new Event.StoreRead(content, revision, requestedAt)));
+    }
+
     private void count(final int index) {
         calls++;
         callers.add(index);
@@ -206,6 +233,12 @@
     /** Writes a change to the store; a routing table gets the store's revision. */
     void write(final StoreChange change) {
         revision++;
+        switch (change) {
+            case StoreChange.UpstreamRegistered(RegisteredUpstream upstream) ->
+                registered.put(upstream.name(), upstream);
+            case StoreChange.UpstreamUnregistered(UpstreamName name) -> registered.remove(name);
+            default -> {}
+        }
         if (change instanceof StoreChange.TableWritten(RoutingTable newTable, long ignored)) {
             table = newTable;
             tableRevision = revision;
@@ -220,6 +253,22 @@
         cutUntil.put(index, now.plus(time));
     }
 
+    /** Lets watches of the store hear nothing for a time, after which the history of changes is gone. */
+    void loseHistory(final Duration silence) {
+        watchesSilentUntil = now.plus(silence);
+    }
+
+    /** Returns the number of the relay of each failure domain. */
+    List<Integer> relays() {
+        final List<Integer> relays = new ArrayList<>();
+        for (int i = 0; i < sites.size(); i++) {
+            if (RelayPolicy.isRelay(sites.get(i).board(), now)) {
+                relays.add(i);
+            }
+        }
+        return relays;
+    }
+
     /** Cuts all connections between instances. */
     void cutPeers(final Duration time) {
         peersCutUntil = now.plus(time);
@@ -241,7 +290,8 @@
         members.set(index, member);
         timers.get(index).clear();
         deliveries.removeIf(delivery -> delivery.receiver() == index);
-        site.readStore(table, upstreams);
+        site.readStore(table, List.copyOf(registered.values()));
+        site.effects().remove(new Effect.ReadStore());
         write(new StoreChange.InstanceRegistered(member));
         site.changeStore(
                 members.stream().map(StoreChange.InstanceRegistered::new).toArray(StoreChange[]::new));
