Ask the registry again where a call is sent

Callers' view: requests reached upstreams that had said they leave (DRAIN). Cause: memory is reserved and a prompt is processed, for up to seconds, after the decode upstream was chosen; before the send only the announcements in responses were asked again, not the registry. The class: a decision outlives what it rests on. Change: UpstreamAvailability is the one rule for both, so a reservation's response and the send ask whether the chosen start is still registered and not draining. PlatformProcessTest waits until the upstream of the test before is gone: a call was made before the process had seen its removal. Evidence: engineThatDrainsAfterItsReservation... and upstreamThatLeavesAfterItWasChosen... failed before. 170 tests of placement, registry and process green. Why it works: the time between choice and send no longer adds to the way of a departure.

--- a/src/main/java/org/lacewingstep/controller/UpstreamAvailability.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamAvailability.java
@@ -9,6 +9,7 @@
 
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallSection.Call;
+import org.lacewingstep.blackboard.RegistrySection.Entry;
 import org.lacewingstep.blackboard.UpstreamNoticeSection.Announcement;
 import org.lacewingstep.domain.RegisteredUpstream;
 import org.lacewingstep.domain.UpstreamName;
@@ -16,7 +17,7 @@
 import org.lacewingstep.domain.UpstreamStart;
 import org.lacewingstep.placement.ReturnDelay;
 
-/** Decides whether an upstream may receive requests, by what it has announced in its responses. */
+/** Decides whether an upstream may receive requests, by the registry and what it has announced in its responses. */
 public final class UpstreamAvailability {
     /** Time for which an upstream that leaves is reported, so that lost reports and restarts are made up for. */
     private static final Duration REPORT_PERIOD = Duration.ofSeconds(30);
@@ -24,17 +25,40 @@
     private UpstreamAvailability() {}
 
     /**
-     * Returns whether an upstream may be sent a request: it is not shutting down and none of its pauses is running.
+     * Returns whether an upstream may be sent a request: it is registered, not shutting down and none of its pauses is
+     * running. What is sent some time after the choice of its upstream asks again.
      *
      * @param board the blackboard, not null
-     * @param upstream the upstream, not null
+     * @param upstream the upstream, as it was when it was chosen, not null
      * @param now the present time, not null
      * @return true if a call, a prompt or a reservation may be sent
      */
     public static boolean acceptsRequests(
             final Blackboard board, final RegisteredUpstream upstream, final Instant now) {
-        final Announcement announced = announced(board, upstream);
-        return announced.leavingSince().isEmpty() && !announced.pausedUntil().isAfter(now);
+        final Entry entry = board.serving().registry().upstreams().get(upstream.name());
+        return entry != null
+                && entry.upstream().startedAtMillis() == upstream.startedAtMillis()
+                && acceptsRequests(board, entry, now);
+    }
+
+    /**
+     * Returns whether a registered upstream may be sent a request.
+     *
+     * @param board the blackboard, not null
+     * @param entry the registry entry of the upstream, not null
+     * @param now the present time, not null
+     * @return true if a call, a prompt or a reservation may be sent
+     */
+    static boolean acceptsRequests(final Blackboard board, final Entry entry, final Instant now) {
+        final Announcement announced = announced(board, entry.upstream());
+        return isStaying(board, entry, now)
+                && announced.leavingSince().isEmpty()
+                && !announced.pausedUntil().isAfter(now);
+    }
+
+    private static boolean isStaying(final Blackboard board, final Entry entry, final Instant now) {
+        return !entry.upstream().draining()
+                && RegistryController.isRegistered(board.serving().registry(), entry, now);
     }
 
     /**
@@ -53,13 +77,12 @@
         Optional<Instant> firstEnd = Optional.empty();
         for (final UpstreamRole role : CallPlacement.RESPONDING_ROLES) {
             for (final UpstreamName name : board.serving().registry().pool(call.service(), role)) {
-                final RegisteredUpstream upstream =
-                        board.serving().registry().upstreams().get(name).upstream();
-                if (upstream.draining()) {
+                final Entry entry = board.serving().registry().upstreams().get(name);
+                if (!isStaying(board, entry, now)) {
                     continue;
                 }
                 known = true;
-                final Announcement announced = announced(board, upstream);
+                final Announcement announced = announced(board, entry.upstream());
                 if (announced.leavingSince().isEmpty()) {
                     if (until.isAfter(announced.pausedUntil())) {
                         return Optional.empty();
--- a/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
@@ -111,9 +111,7 @@
 
     private static boolean isAvailable(final Blackboard board, final Call call, final Entry entry, final Instant now) {
         final RegisteredUpstream upstream = entry.upstream();
-        return !upstream.draining()
-                && UpstreamAvailability.acceptsRequests(board, upstream, now)
-                && RegistryController.isRegistered(board.serving().registry(), entry, now)
+        return UpstreamAvailability.acceptsRequests(board, entry, now)
                 && !board.serving().roles().isChanging(upstream, now)
                 && !board.serving().routing().takenOut().contains(upstream.failureDomain())
                 && isInAllowedRegion(board, call, upstream)
--- a/src/test/java/org/lacewingstep/command/PlatformProcessTest.java
+++ b/src/test/java/org/lacewingstep/command/PlatformProcessTest.java
@@ -104,7 +104,7 @@
         second.setScript(Script.COMPLETE);
         store.delete("servers/i-2");
         store.put("servers/i-1", UPSTREAM.formatted(first.port()));
-        await(() -> send("again").statusCode() == 200);
+        await(() -> send("again").statusCode() == 200 && !registry().contains("i-2"));
         first.requests().clear();
     }
 
--- a/src/test/java/org/lacewingstep/controller/LeavingUpstreamFleetTest.java
+++ b/src/test/java/org/lacewingstep/controller/LeavingUpstreamFleetTest.java
@@ -144,10 +144,7 @@
 
     private static boolean isUsable(final SiteFixture site, final UpstreamName name) {
         final Entry entry = site.board().serving().registry().upstreams().get(name);
-        return entry != null
-                && !entry.upstream().draining()
-                && RegistryController.isRegistered(site.board().serving().registry(), entry, site.now())
-                && UpstreamAvailability.acceptsRequests(site.board(), entry.upstream(), site.now());
+        return entry != null && UpstreamAvailability.acceptsRequests(site.board(), entry.upstream(), site.now());
     }
 
     private static StoreChange draining(final int number) {
--- a/src/test/java/org/lacewingstep/controller/UpstreamNoticeTest.java
+++ b/src/test/java/org/lacewingstep/controller/UpstreamNoticeTest.java
@@ -82,6 +82,34 @@
                 .isNotEqualTo(engine));
     }
 
+    @Test
+    void engineThatDrainsAfterItsReservationReceivesNoCall() {
+        final SiteFixture reserving = SiteFixture.reserving();
+        final RequestIdentifier request = reserving.call("/stream/x");
+        final RegisteredUpstream engine = ((Reserve) reserving.lastInstruction(request)).upstream();
+        reserving.changeStore(new StoreChange.UpstreamRegistered(SiteFixture.draining(engine)));
+
+        reserving.step(new Event.ReservationCompleted(request, engine.name(), new CallResult.Served()));
+
+        assertThat(reserving.instructions(request)).noneMatch(Send.class::isInstance);
+    }
+
+    /** The prompt may be processed for seconds after its decode upstream was chosen; the event loop asks again. */
+    @Test
+    void upstreamThatLeavesAfterItWasChosenAcceptsNoRequests() {
+        final RegisteredUpstream chosen = site.lastSend(site.call("/stream/x")).upstream();
+        assertThat(UpstreamAvailability.acceptsRequests(site.board(), chosen, site.now()))
+                .isTrue();
+
+        site.changeStore(new StoreChange.UpstreamRegistered(SiteFixture.draining(chosen)));
+        assertThat(UpstreamAvailability.acceptsRequests(site.board(), chosen, site.now()))
+                .isFalse();
+        site.changeStore(new StoreChange.UpstreamRegistered(chosen));
+        site.changeStore(new StoreChange.UpstreamUnregistered(chosen.name()));
+        assertThat(UpstreamAvailability.acceptsRequests(site.board(), chosen, site.now()))
+                .isFalse();
+    }
+
     @Test
     void pausedUpstreamReceivesCallsAgainAfterItsTime() {
         announceLeaving(SECOND, 1);
