Keep to the rate of requests that an upstream names

Cause: nothing read the header. The class: a word of an upstream is passed on to callers and not acted on. Change: NoticeHeaders reads it with any status until a response comes without it; RequestLimitShare divides the rate among the instances by the second of the clock, with turns where it is low, and lets few at a time use what others leave where reports are new. Why it works: the parts of a second add up to what the rule allows whatever the demand, and spare room is bounded by who may use it at a time.

--- a/src/main/java/org/lacewingstep/blackboard/UpstreamNoticeSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/UpstreamNoticeSection.java
@@ -50,14 +50,28 @@
                 .count();
     }
 
+    /**
+     * Counts the starts of upstreams that limit the rate of requests.
+     *
+     * @return the number of starts
+     */
+    public long limitedUpstreams() {
+        return announcements.values().stream()
+                .filter(announced -> announced.requestsPerSecond().isPresent())
+                .count();
+    }
+
     /**
      * What a start of an upstream has announced.
      *
      * @param leavingSince when this instance learned that the upstream leaves, empty if it does not
      * @param pausedUntil end of the pause that the upstream announced, not null
+     * @param requestsPerSecond the rate that the upstream takes from all instances, empty if its last response named
+     *     none
      */
-    public record Announcement(Optional<Instant> leavingSince, Instant pausedUntil) {
+    public record Announcement(
+            Optional<Instant> leavingSince, Instant pausedUntil, Optional<Double> requestsPerSecond) {
         /** The announcements of an upstream that has made none. */
-        public static final Announcement NONE = new Announcement(Optional.empty(), Instant.EPOCH);
+        public static final Announcement NONE = new Announcement(Optional.empty(), Instant.EPOCH, Optional.empty());
     }
 }
--- a/src/main/java/org/lacewingstep/command/PlatformProcess.java
+++ b/src/main/java/org/lacewingstep/command/PlatformProcess.java
@@ -30,6 +30,7 @@
 import org.lacewingstep.traffic.OpenCalls;
 import org.lacewingstep.traffic.OperatorHandlers;
 import org.lacewingstep.traffic.UnexpectedErrors;
+import org.lacewingstep.traffic.UpstreamChecks;
 import org.lacewingstep.upstream.BufferBudget;
 import org.lacewingstep.upstream.UpstreamPools;
 import org.slf4j.Logger;
@@ -137,7 +138,9 @@
                 clock::now,
                 control::post,
                 () -> !control.board().lifecycle().isReady(),
-                upstream -> UpstreamAvailability.acceptsRequests(control.board(), upstream, clock.now()),
+                new UpstreamChecks(
+                        upstream -> UpstreamAvailability.acceptsRequests(control.board(), upstream, clock.now()),
+                        upstream -> UpstreamAvailability.isLimited(control.board(), upstream)),
                 new CallMetrics(metrics));
         metrics.gauge("calls.open", () -> openCalls::size);
         metrics.gauge(
@@ -149,6 +152,9 @@
         metrics.gauge(
                 "upstreams.paused",
                 () -> () -> control.board().serving().notices().pausedUpstreams(clock.now()));
+        metrics.gauge(
+                "upstreams.limited",
+                () -> () -> control.board().serving().notices().limitedUpstreams());
         metrics.gauge(
                 "prompts.kept.hits",
                 () -> () -> control.board().serving().learned().keptPrompts().hits());
--- /dev/null
+++ b/src/main/java/org/lacewingstep/controller/RequestLimitShare.java
@@ -0,0 +1,93 @@
+package org.lacewingstep.controller;
+
+import java.time.Instant;
+
+import com.google.common.hash.Hashing;
+import org.lacewingstep.blackboard.Blackboard;
+import org.lacewingstep.blackboard.UpstreamLoadSection.Load;
+import org.lacewingstep.domain.InstanceName;
+import org.lacewingstep.domain.RegisteredUpstream;
+
+/**
+ * Divides the rate that an upstream takes from all instances together.
+ *
+ * <p>In each second of the clock, all instances together may send a fixed number of requests. All compute the same
+ * division of it, without messages: what cannot be divided evenly goes to some instances, which take turns. Where
+ * reports arrive soon, an instance that has more demand than the others sends more while the upstream gets little.
+ */
+final class RequestLimitShare {
+    /** Requests in a second on a site with relays, per request per second; five seconds overlap with any four. */
+    private static final double RATE_FACTOR = 1.2;
+
+    /** Requests in a second on a site with relays, at any limit. */
+    private static final double EXTRA_REQUESTS = 1;
+
+    /** Part of the limit below which an instance of a site without relays may send beyond its part. */
+    private static final double SPARE_FRACTION = 0.8;
+
+    /** Instances that may do so at the same time, beside one for each request per second of the limit. */
+    private static final double EXTRA_SPARE_INSTANCES = 1.2;
+
+    /** Time in which some instances may use spare room; at its end, the others know what these have sent. */
+    private static final long SPARE_TURN_MILLISECONDS = 100;
+
+    private RequestLimitShare() {}
+
+    /**
+     * Returns whether this instance may send an upstream another request in the present second.
+     *
+     * @param board the blackboard, not null
+     * @param upstream the upstream, not null
+     * @param requestsPerSecond the rate that the upstream takes from all instances together, positive
+     * @param now the present time, not null
+     * @return true if this instance has sent fewer than its part in this second, or the upstream has room to spare
+     */
+    static boolean permitsRequest(
+            final Blackboard board,
+            final RegisteredUpstream upstream,
+            final double requestsPerSecond,
+            final Instant now) {
+        final Load load = UpstreamCost.load(board, upstream);
+        final long second = now.getEpochSecond();
+        final long sent = load.arrivals().stream()
+                .filter(at -> at.getEpochSecond() == second)
+                .count();
+        if (board.serving().site().isRelayed()) {
+            return sent < part(board, upstream, (long) (RATE_FACTOR * requestsPerSecond + EXTRA_REQUESTS), second);
+        }
+        final long arrivals = load.recentArrivals(now)
+                + board.serving().use(upstream.name(), now).arrivals();
+        return sent < part(board, upstream, Math.max(1, Math.round(requestsPerSecond)), second)
+                || arrivals < Math.max(1, Math.round(SPARE_FRACTION * requestsPerSecond))
+                        && hasTurn(board, upstream, now.toEpochMilli() / SPARE_TURN_MILLISECONDS, (long)
+                                (requestsPerSecond + EXTRA_SPARE_INSTANCES));
+    }
+
+    private static long part(
+            final Blackboard board, final RegisteredUpstream upstream, final long all, final long second) {
+        final int instances = board.serving().site().instances();
+        final long remainder = all % instances;
+        return all / instances + (hasTurn(board, upstream, second, remainder) ? 1 : 0);
+    }
+
+    /** Returns whether this instance is among some that take the present one of a sequence of turns. */
+    private static boolean hasTurn(
+            final Blackboard board, final RegisteredUpstream upstream, final long turn, final long instancesOfTurn) {
+        final long first = firstPosition(upstream) + turn * instancesOfTurn;
+        return Math.floorMod(
+                        position(board) - first, (long) board.serving().site().instances())
+                < instancesOfTurn;
+    }
+
+    private static long firstPosition(final RegisteredUpstream upstream) {
+        return Hashing.murmur3_32().hashUnencodedChars(upstream.name().value()).asInt();
+    }
+
+    /** Computes the position of this instance among all in the order of their names. */
+    private static long position(final Blackboard board) {
+        final InstanceName self = board.identity().name();
+        return board.serving().site().present().keySet().stream()
+                .filter(other -> other.value().compareTo(self.value()) < 0)
+                .count();
+    }
+}
--- a/src/main/java/org/lacewingstep/controller/UpstreamAvailability.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamAvailability.java
@@ -56,6 +56,34 @@
                 && !announced.pausedUntil().isAfter(now);
     }
 
+    /**
+     * Returns whether an upstream takes a request of this instance now, by the rate that it has announced. Unlike
+     * {@link #acceptsRequests}, this is asked only where a request is counted at once.
+     *
+     * @param board the blackboard, not null
+     * @param upstream the upstream, not null
+     * @param now the present time, not null
+     * @return true if the upstream names no rate or this instance has a request left in this second
+     */
+    static boolean isWithinAnnouncedLimit(
+            final Blackboard board, final RegisteredUpstream upstream, final Instant now) {
+        return announced(board, upstream)
+                .requestsPerSecond()
+                .map(rate -> RequestLimitShare.permitsRequest(board, upstream, rate, now))
+                .orElse(true);
+    }
+
+    /**
+     * Returns whether an upstream has announced a rate, so that a response without one ends the limit.
+     *
+     * @param board the blackboard, not null
+     * @param upstream the upstream, not null
+     * @return true if the last response of the upstream named a rate
+     */
+    public static boolean isLimited(final Blackboard board, final RegisteredUpstream upstream) {
+        return announced(board, upstream).requestsPerSecond().isPresent();
+    }
+
     private static boolean isStaying(final Blackboard board, final Entry entry, final Instant now) {
         return !entry.upstream().draining()
                 && RegistryController.isRegistered(board.serving().registry(), entry, now);
@@ -118,6 +146,10 @@
     }
 
     private static Announcement announced(final Blackboard board, final RegisteredUpstream upstream) {
-        return board.serving().notices().of(new UpstreamStart(upstream.name(), upstream.startedAtMillis()));
+        return board.serving().notices().of(start(upstream));
+    }
+
+    private static UpstreamStart start(final RegisteredUpstream upstream) {
+        return new UpstreamStart(upstream.name(), upstream.startedAtMillis());
     }
 }
--- a/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
@@ -106,7 +106,8 @@
                 && !call.tried().contains(upstream.name())
                 && UpstreamRoom.hasCapacity(board, call, upstream, now)
                 && PlainRoom.hasPlace(board, call, upstream, now)
-                && UpstreamRoom.isWithinColdStartLimit(board, upstream, alternatives, now);
+                && UpstreamRoom.isWithinColdStartLimit(board, upstream, alternatives, now)
+                && UpstreamAvailability.isWithinAnnouncedLimit(board, upstream, now);
     }
 
     private static boolean isAvailable(final Blackboard board, final Call call, final Entry entry, final Instant now) {
--- a/src/main/java/org/lacewingstep/controller/UpstreamNoticeController.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamNoticeController.java
@@ -20,7 +20,7 @@
 import org.lacewingstep.domain.UpstreamStart;
 import org.pcollections.PMap;
 
-/** Records which upstreams announce in their responses that they are shutting down or pause requests. */
+/** Records which upstreams announce in their responses that they are shutting down, pause requests or limit them. */
 public final class UpstreamNoticeController implements Controller<UpstreamNoticeSection> {
     /** Most starts of upstreams whose announcements are kept; many more than a site has at a time. */
     static final int MAX_ANNOUNCEMENTS = 4096;
@@ -55,7 +55,8 @@
         for (final UpstreamStart start : leaving) {
             final Announcement known = section.of(start);
             if (known.leavingSince().isEmpty()) {
-                next = limit(next.plus(start, new Announcement(Optional.of(now), known.pausedUntil())));
+                next = limit(next.plus(
+                        start, new Announcement(Optional.of(now), known.pausedUntil(), known.requestsPerSecond())));
                 builder.add(new Effect.Log(Decision.of(
                         "upstream",
                         "reported leaving",
@@ -77,7 +78,7 @@
                 .map(pause -> now.plus(pause.compareTo(MAX_PAUSE) < 0 ? pause : MAX_PAUSE))
                 .filter(until -> until.isAfter(known.pausedUntil()))
                 .orElse(known.pausedUntil());
-        final Announcement next = new Announcement(leavingSince, pausedUntil);
+        final Announcement next = new Announcement(leavingSince, pausedUntil, notice.requestsPerSecond());
         if (next.equals(known)) {
             return Outcome.of(section);
         }
@@ -89,6 +90,16 @@
         if (!pausedUntil.equals(known.pausedUntil())) {
             log(notice, "paused", Duration.between(now, pausedUntil), builder);
         }
+        final boolean limited = notice.requestsPerSecond().isPresent();
+        if (limited != known.requestsPerSecond().isPresent()) {
+            builder.add(new Effect.Log(Decision.on(
+                    "upstream",
+                    notice.request(),
+                    limited ? "limits requests" : "limits requests no more",
+                    Input.of("upstream", notice.start().upstream()),
+                    Input.of("started_at", notice.start().startedAtMillis()),
+                    Input.of("per_second", notice.requestsPerSecond().orElse(0.0)))));
+        }
         return builder.outcome(
                 new UpstreamNoticeSection(limit(section.announcements().plus(notice.start(), next))));
     }
--- a/src/main/java/org/lacewingstep/traffic/OpenCalls.java
+++ b/src/main/java/org/lacewingstep/traffic/OpenCalls.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import io.netty.channel.Channel;
@@ -30,7 +29,7 @@
     private final CallProtocol protocol;
     private final BooleanSupplier closeConnections;
     private final Consumer<Event> events;
-    private final Predicate<RegisteredUpstream> acceptsRequests;
+    private final UpstreamChecks checks;
     private final CallMetrics metrics;
     private final UpstreamPools pools;
     private final ConcurrentMap<RequestIdentifier, CallSession> sessions = new ConcurrentHashMap<>();
@@ -43,7 +42,7 @@
      * @param clock supplies the current time, not null
      * @param events receives the events for the control thread, not null
      * @param closeConnections returns whether callers should reconnect to other instances, not null
-     * @param acceptsRequests returns whether an upstream may be sent a request now, not null
+     * @param checks what the newest blackboard says about upstreams, not null
      * @param metrics the counters and latencies of calls, not null
      */
     public OpenCalls(
@@ -52,14 +51,14 @@
             final Supplier<Instant> clock,
             final Consumer<Event> events,
             final BooleanSupplier closeConnections,
-            final Predicate<RegisteredUpstream> acceptsRequests,
+            final UpstreamChecks checks,
             final CallMetrics metrics) {
         this.protocol = protocol;
         this.pools = pools;
         this.clock = clock;
         this.events = events;
         this.closeConnections = closeConnections;
-        this.acceptsRequests = acceptsRequests;
+        this.checks = checks;
         this.metrics = metrics;
     }
 
@@ -166,11 +165,11 @@
      * @return true if the request may be sent
      */
     boolean acceptsRequests(final RegisteredUpstream upstream) {
-        return acceptsRequests.test(upstream);
+        return checks.acceptsRequests().test(upstream);
     }
 
     /**
-     * Posts what an upstream announces about itself in a response.
+     * Posts what an upstream announces about itself in a response; a response without a rate ends a limit.
      *
      * @param request the request that the response belongs to, not null
      * @param upstream the upstream that sent the response, not null
@@ -178,7 +177,7 @@
      */
     void postNotice(final RequestIdentifier request, final RegisteredUpstream upstream, final HttpResponse response) {
         final UpstreamNotice notice = protocol.decodeNotice(request, upstream, response);
-        if (notice.isPresent()) {
+        if (notice.isPresent() || checks.isLimited().test(upstream)) {
             events.accept(new Event.UpstreamNoticeReceived(notice));
         }
     }
--- a/src/test/java/org/lacewingstep/command/UpstreamNoticeProcessTest.java
+++ b/src/test/java/org/lacewingstep/command/UpstreamNoticeProcessTest.java
@@ -36,6 +36,11 @@
     private static final Duration TRANSIT_TIME = Duration.ofMillis(500);
 
     private static final int ARRIVALS_ALLOWED = 2;
+
+    /** Requests per second that an upstream takes, and the time in which the arrivals are counted. */
+    private static final double LIMIT = 2;
+
+    private static final Duration LIMIT_WINDOW = Duration.ofSeconds(4);
     private static final int CALLERS = 8;
 
     private PlatformTestSite site;
@@ -101,6 +106,44 @@
         await(() -> site.send(ONCE).statusCode() == 200);
     }
 
+    @Test
+    void upstreamThatNamesALimitReceivesNoMoreUntilAResponseNamesNone() throws Exception {
+        final AtomicReference<Instant> limitedAt = new AtomicReference<>();
+        final Queue<Instant> arrivals = new ConcurrentLinkedQueue<>();
+        site.single().respondWith(exchange -> {
+            arrivals.add(Instant.now());
+            limitedAt.compareAndSet(null, Instant.now());
+            return Reply.keepOpen(response(sealed(exchange.identifier()) + "\r\nServer-Limit: " + LIMIT, "done"));
+        });
+        final List<CompletableFuture<Void>> callers = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            callers.add(CompletableFuture.runAsync(() -> press(limitedAt), task -> new Thread(task).start()));
+        }
+        for (final CompletableFuture<Void> caller : callers) {
+            caller.get();
+        }
+
+        final Instant first = limitedAt.get().plus(TRANSIT_TIME);
+        assertThat(arrivals.stream().filter(at -> at.isAfter(first) && at.isBefore(first.plus(LIMIT_WINDOW))))
+                .hasSizeLessThanOrEqualTo((int) (1.5 * LIMIT * LIMIT_WINDOW.toSeconds() + 5));
+        site.single().respondWith(exchange -> Reply.keepOpen(response(sealed(exchange.identifier()), "done")));
+        await(() -> site.send(ONCE).statusCode() == 200);
+        for (int i = 0; i < 20; i++) {
+            assertThat(site.send(ONCE).statusCode()).isEqualTo(200);
+        }
+    }
+
+    private void press(final AtomicReference<Instant> limitedAt) {
+        try {
+            while (limitedAt.get() == null
+                    || Instant.now().isBefore(limitedAt.get().plus(TRANSIT_TIME).plus(LIMIT_WINDOW))) {
+                assertThat(site.send(ONCE).statusCode()).isIn(200, 503);
+            }
+        } catch (final Exception failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
     private void pressUntilThePauseEnds(final AtomicReference<Instant> refusedAt) {
         try {
             while (refusedAt.get() == null
