--- a/src/main/java/org/lacewingstep/controller/RequestLimitShare.java
+++ b/src/main/java/org/lacewingstep/controller/RequestLimitShare.java
@@ -4,7 +4,6 @@
 
 import com.google.common.hash.Hashing;
 import org.lacewingstep.blackboard.Blackboard;
-import org.lacewingstep.blackboard.UpstreamLoadSection.Load;
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.RegisteredUpstream;
 
@@ -47,27 +46,33 @@
             final RegisteredUpstream upstream,
             final double requestsPerSecond,
             final Instant now) {
-        final Load load = UpstreamCost.load(board, upstream);
+        return board.serving().site().isRelayed()
+                ? hasPart(board, upstream, (long) (RATE_FACTOR * requestsPerSecond + EXTRA_REQUESTS), now)
+                : hasPart(board, upstream, Math.max(1, Math.round(requestsPerSecond)), now)
+                        || hasSpareRoom(board, upstream, requestsPerSecond, now);
+    }
+
+    private static boolean hasPart(
+            final Blackboard board, final RegisteredUpstream upstream, final long all, final Instant now) {
         final long second = now.getEpochSecond();
-        final long sent = load.arrivals().stream()
+        final long sent = UpstreamCost.load(board, upstream).arrivals().stream()
                 .filter(at -> at.getEpochSecond() == second)
                 .count();
-        if (board.serving().site().isRelayed()) {
-            return sent < part(board, upstream, (long) (RATE_FACTOR * requestsPerSecond + EXTRA_REQUESTS), second);
-        }
-        final long arrivals = load.recentArrivals(now)
-                + board.serving().use(upstream.name(), now).arrivals();
-        return sent < part(board, upstream, Math.max(1, Math.round(requestsPerSecond)), second)
-                || arrivals < Math.max(1, Math.round(SPARE_FRACTION * requestsPerSecond))
-                        && hasTurn(board, upstream, now.toEpochMilli() / SPARE_TURN_MILLISECONDS, (long)
-                                (requestsPerSecond + EXTRA_SPARE_INSTANCES));
+        final int instances = board.serving().site().instances();
+        return sent < all / instances + (hasTurn(board, upstream, second, all % instances) ? 1 : 0);
     }
 
-    private static long part(
-            final Blackboard board, final RegisteredUpstream upstream, final long all, final long second) {
-        final int instances = board.serving().site().instances();
-        final long remainder = all % instances;
-        return all / instances + (hasTurn(board, upstream, second, remainder) ? 1 : 0);
+    /** Returns whether all instances have sent little in the last second and this one may send more. */
+    private static boolean hasSpareRoom(
+            final Blackboard board,
+            final RegisteredUpstream upstream,
+            final double requestsPerSecond,
+            final Instant now) {
+        final long arrivals = UpstreamCost.load(board, upstream).recentArrivals(now)
+                + board.serving().use(upstream.name(), now).arrivals();
+        final long turn = now.toEpochMilli() / SPARE_TURN_MILLISECONDS;
+        return arrivals < Math.max(1, Math.round(SPARE_FRACTION * requestsPerSecond))
+                && hasTurn(board, upstream, turn, (long) (requestsPerSecond + EXTRA_SPARE_INSTANCES));
     }
 
     /** Returns whether this instance is among some that take the present one of a sequence of turns. */
