Report no entries that lapse with the store as departures

Cause: relays reported every entry that disappears at once, so instances would count the 1.5 s for which lapsed entries are used from an earlier moment, and drop upstreams before they hear that these have registered again. Change: DepartureReports asks the same rule as the choice of upstreams. Evidence: by reading; relayReportsNoEntriesThatLapseWithTheStore holds it (not run against the code before).

--- a/src/main/java/org/lacewingstep/controller/DepartureReports.java
+++ b/src/main/java/org/lacewingstep/controller/DepartureReports.java
@@ -40,29 +40,29 @@
         if (!RelayPolicy.isRelay(board, now)) {
             return;
         }
-        final List<StoreChange> departures = departures(board.serving().registry(), after);
+        final List<StoreChange> departures = departures(board.serving().registry(), after, now);
         if (!departures.isEmpty()) {
             final PeerMessage message = new PeerMessage.UpstreamDepartures(revision, departures);
             board.serving().site().others().forEach(member -> builder.add(new Effect.SendToPeer(member, message)));
         }
     }
 
-    private static List<StoreChange> departures(final RegistrySection before, final RegistrySection after) {
+    /** Lists departures; entries that have lapsed with the store are none, as their upstreams register again. */
+    private static List<StoreChange> departures(
+            final RegistrySection before, final RegistrySection after, final Instant now) {
         final List<StoreChange> departures = new ArrayList<>();
         for (final Map.Entry<UpstreamName, Entry> known : before.upstreams().entrySet()) {
+            final Entry earlier = known.getValue();
             final Entry current = after.upstreams().get(known.getKey());
-            if (isMissing(current) && !isMissing(known.getValue())) {
+            final boolean registered = RegistryController.isRegistered(after, current, now);
+            if (!registered && RegistryController.isRegistered(before, earlier, now)) {
                 departures.add(new StoreChange.UpstreamUnregistered(known.getKey()));
-            } else if (!isMissing(current)
+            } else if (registered
                     && current.upstream().draining()
-                    && !known.getValue().upstream().draining()) {
+                    && !earlier.upstream().draining()) {
                 departures.add(new StoreChange.UpstreamRegistered(current.upstream()));
             }
         }
         return departures;
     }
-
-    private static boolean isMissing(final Entry entry) {
-        return entry == null || entry.missingSince().isPresent();
-    }
 }
--- a/src/test/java/org/lacewingstep/controller/RelayControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/RelayControllerTest.java
@@ -122,6 +122,26 @@
         assertThat(restarted.board().serving().routing().confirmedAt()).isEqualTo(readAt);
     }
 
+    @Test
+    void relayReportsAnUpstreamThatDisappearsAlone() {
+        receive(FOLLOWER, new PeerMessage.StoreQuery(1, 101));
+        site.changeStore(new StoreChange.UpstreamUnregistered(
+                SiteFixture.upstreams().getFirst().name()));
+
+        assertThat(departures()).hasSize(INSTANCES - 1);
+    }
+
+    /** Instances that heard of lapsed entries early would drop them before they hear that these are back. */
+    @Test
+    void relayReportsNoEntriesThatLapseWithTheStore() {
+        receive(FOLLOWER, new PeerMessage.StoreQuery(1, 101));
+        site.changeStore(SiteFixture.upstreams().stream()
+                .map(upstream -> new StoreChange.UpstreamUnregistered(upstream.name()))
+                .toArray(StoreChange[]::new));
+
+        assertThat(departures()).isEmpty();
+    }
+
     @Test
     void ownReportInADigestIsNotCounted() {
         receive(
@@ -157,6 +177,13 @@
         site.step(new Event.PeerMessageReceived(sender.incarnation(), message));
     }
 
+    private List<Effect> departures() {
+        return site.effects().stream()
+                .filter(effect ->
+                        effect instanceof Effect.SendToPeer(var receiver, PeerMessage.UpstreamDepartures departures))
+                .toList();
+    }
+
     private List<PeerMessage.StoreUpdate> updates() {
         return site.effects().stream()
                 .filter(Effect.SendToPeer.class::isInstance)
