--- a/src/test/java/org/lacewingstep/controller/RelayFleet.java
+++ b/src/test/java/org/lacewingstep/controller/RelayFleet.java
@@ -169,10 +169,17 @@
             return;
         }
         if (lostShare == 0 || random.nextDouble() >= lostShare) {
-            deliveries.get(receiver).add(new Delivery(now.plusMillis(1 + random.nextInt(4)), event));
+            deliverAfter(Duration.ofMillis(1 + random.nextInt(4)), receiver, event);
         }
         if (repeatedShare > 0 && random.nextDouble() < repeatedShare) {
-            deliveries.get(receiver).add(new Delivery(now.plusMillis(random.nextInt(MAX_REPETITION_DELAY)), event));
+            deliverAfter(Duration.ofMillis(random.nextInt(MAX_REPETITION_DELAY)), receiver, event);
+        }
+    }
+
+    /** Delivers an event, unless the receiver is a process that has ended. */
+    private void deliverAfter(final Duration delay, final int receiver, final Event event) {
+        if (receiver >= 0) {
+            deliveries.get(receiver).add(new Delivery(now.plus(delay), event));
         }
     }
 
