--- a/src/main/java/org/lacewingstep/controller/UpstreamAvailability.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamAvailability.java
@@ -26,7 +26,7 @@
 
     /**
      * Returns whether an upstream may be sent a request: it is registered, not shutting down and none of its pauses is
-     * running. What is sent some time after the choice of its upstream asks again.
+     * running. Checked again before each send, since the choice may be outdated by then.
      *
      * @param board the blackboard, not null
      * @param upstream the upstream, as it was when it was chosen, not null
@@ -58,7 +58,7 @@
 
     /**
      * Returns whether an upstream takes a request of this instance now, by the rate that it has announced. Unlike
-     * {@link #acceptsRequests}, this is asked only where a request is counted at once.
+     * {@link #acceptsRequests}, this is checked only where a request is counted at once.
      *
      * @param board the blackboard, not null
      * @param upstream the upstream, not null
--- a/src/test/java/org/lacewingstep/controller/UpstreamNoticeTest.java
+++ b/src/test/java/org/lacewingstep/controller/UpstreamNoticeTest.java
@@ -94,7 +94,7 @@
         assertThat(reserving.instructions(request)).noneMatch(Send.class::isInstance);
     }
 
-    /** The prompt may be processed for seconds after its decode upstream was chosen; the event loop asks again. */
+    /** The prompt may be processed for seconds after its decode upstream was chosen, which is checked again then. */
     @Test
     void upstreamThatLeavesAfterItWasChosenAcceptsNoRequests() {
         final RegisteredUpstream chosen = site.lastSend(site.call("/stream/x")).upstream();
--- a/src/test/java/org/lacewingstep/platform/NoticeHeadersTest.java
+++ b/src/test/java/org/lacewingstep/platform/NoticeHeadersTest.java
@@ -23,7 +23,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** Tests which values of an upstream's headers mean that it leaves, wants a pause or limits its rate. */
+/** Tests which values of an upstream's headers announce leaving, a pause or a limit of its rate. */
 class NoticeHeadersTest {
     private static final RegisteredUpstream UPSTREAM = new RegisteredUpstream(
             new UpstreamName("i-1"),
