Show that a quarantine is lost when all instances restart

Cause: quarantined parts are kept in memory only, and an instance learns them from other instances alone.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../run-case-2.sh" RestartOfAllInstances 9
