Leave no moment and no port of the review's scripts to chance

The ports came from the ephemeral range, which is the likeliest cause. Change: callers of review/8 pause while the engine begins to leave; ports are taken from below the ephemeral range, each one once.

--- a/review/src-2/review2/LateReport.java
+++ b/review/src-2/review2/LateReport.java
@@ -24,17 +24,19 @@
     private static final int RUNNERS = 8;
     private static final int PREFILL_RUNNERS = 2;
     private static final int LEAVING = RUNNERS - 1;
-    private static final int EVENTS = 15;
+    private static final int EVENTS = 10;
     private static final long FIRST_EVENT_MILLIS = 60;
     private static final long EVENT_MILLIS = 100;
-    private static final long REQUEST_INTERVAL_MILLIS = 200;
+    private static final long REQUEST_INTERVAL_MILLIS = 250;
+    /** Time after the report "draining" in which no caller asks. */
+    private static final long LULL_AFTER_MILLIS = 400;
     private static final long HEARTBEAT_MILLIS = 1200;
     private static final long CONTACT_MILLIS = 3000;
     private static final long DRAIN_MILLIS = 2000;
     /** Time by which the lost report is late; the site's troubles name 1 to 6 s. */
     private static final long LATE_MILLIS = 5700;
     /** The runner serves for this long after drainMs, then ends. */
-    private static final long LONGER_MILLIS = 1400;
+    private static final long LONGER_MILLIS = 1300;
 
     private final Record record;
     private final Store store;
@@ -43,8 +45,8 @@
     private final Map<String, Long> arrivedAtLeaving = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> ends = new ConcurrentHashMap<>();
     private final List<String> lost = new ArrayList<>();
-    private final AtomicInteger runningAtLeaving = new AtomicInteger();
     private volatile boolean leaving;
+    private volatile boolean lull;
     private volatile long drainingAt = Long.MAX_VALUE;
 
     private LateReport(final Record record) throws IOException {
@@ -91,20 +93,21 @@
         if (!trouble) {
             store.put("servers/" + runner.identifier, lostReport);
         }
-        for (int beat = 0; beat < 2; beat++) {
-            Thread.sleep(HEARTBEAT_MILLIS);
-            report(runner, "ready", sequence++);
-        }
+        Thread.sleep(HEARTBEAT_MILLIS);
+        report(runner, "ready", sequence++);
+        // No caller asks for a while, so that the runner has no request when it begins to leave.
+        lull = true;
+        Thread.sleep(HEARTBEAT_MILLIS);
+        report(runner, "ready", sequence++);
         Thread.sleep(Math.max(0, lostAt + CONTACT_MILLIS + 150 - record.millis()));
-        while (runningAtLeaving.get() > 0) {
-            Thread.sleep(1);
-        }
         leaving = true;
         report(runner, "draining", sequence++);
         drainingAt = record.millis();
         final long endsAt = drainingAt + DRAIN_MILLIS + LONGER_MILLIS;
         long nextBeat = drainingAt + HEARTBEAT_MILLIS;
         boolean late = trouble;
+        Thread.sleep(LULL_AFTER_MILLIS);
+        lull = false;
         while (record.millis() < endsAt) {
             if (late && record.millis() >= lostAt + LATE_MILLIS) {
                 late = false;
@@ -134,8 +137,10 @@
         try (ExecutorService clients = Executors.newVirtualThreadPerTaskExecutor()) {
             while (record.millis() < end) {
                 final Site.Instance instance = site.instances.get(random.nextInt(INSTANCES));
-                final String identifier = "verdict-" + number++;
-                clients.submit(() -> request(instance, identifier));
+                if (!lull) {
+                    final String identifier = "verdict-" + number++;
+                    clients.submit(() -> request(instance, identifier));
+                }
                 Thread.sleep(REQUEST_INTERVAL_MILLIS);
             }
         } catch (final InterruptedException interruption) {
@@ -170,7 +175,6 @@
         }
         final boolean leaver = runner == runners.get(LEAVING);
         if (leaver) {
-            runningAtLeaving.incrementAndGet();
             arrivedAtLeaving.put(identifier, record.millis());
         }
         record.line(identifier + " runs at " + runner.identifier);
@@ -181,9 +185,6 @@
             Thread.sleep(EVENT_MILLIS);
         }
         EngineCalls.end(output);
-        if (leaver) {
-            runningAtLeaving.decrementAndGet();
-        }
         return true;
     }
 
--- a/review/src-2/review2/Site.java
+++ b/review/src-2/review2/Site.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -81,6 +82,10 @@
 
     private static final long LONGEST_RUN_MILLIS = 117_000;
     private static final int COULD_NOT_RUN = 2;
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+    private static final int PORT_STEP = 17;
+    private static final AtomicInteger nextPort = new AtomicInteger((int) ProcessHandle.current().pid() * 1201);
 
     final List<Instance> instances = new ArrayList<>();
     final Path folder;
@@ -155,10 +160,17 @@
         }
     }
 
+    /** Finds a port below the ephemeral range, another one at each call, so that no connection takes it meanwhile. */
     static int freePort(final String host) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            return socket.getLocalPort();
+        for (int tries = 0; tries < PORTS; tries++) {
+            final int port = FIRST_PORT + Math.floorMod(nextPort.getAndAdd(PORT_STEP), PORTS);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+                return socket.getLocalPort();
+            } catch (final IOException taken) {
+                continue;
+            }
         }
+        throw new IOException("no port is free at " + host);
     }
 
     /** Reads the command of the deploy file; another JDK takes the place of one that this machine lacks. */
