Take no response with an invalid status for an answer

What callers saw: an upstream in trouble answered with the status 000, and the caller got it as its answer. So it was with 0 to 99, with 600 and up, and with four digits; 0200 and +200 reached the caller as a 200, also as the processed prompt and the reserved memory of an engine.

Cause: Netty's decoder parses the status as any integer, and the text from which it was parsed is gone after that.

Change: the connections to upstreams decode with ResponseDecoder, which checks the text of the status: three digits from 100 to 599. Any other makes the response invalid, which already ends the attempt: the call is sent elsewhere if it may run again, else the caller reads "may have run". As Netty's client codec takes no decoder, encoder and decoder are added apart, and the decoder is told the request's method, for responses to HEAD.

--- /dev/null
+++ b/src/main/java/org/lacewingstep/upstream/ResponseDecoder.java
@@ -0,0 +1,49 @@
+package org.lacewingstep.upstream;
+
+import java.util.regex.Pattern;
+
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/**
+ * Decodes the responses on one connection, and reports those that Netty accepts although they are not valid HTTP as
+ * failed; used on one event loop only.
+ */
+final class ResponseDecoder extends HttpResponseDecoder {
+    private static final int MAX_HEADERS_BYTES = 64 * 1024;
+    private static final int MAX_STATUS_LINE_BYTES = 16 * 1024;
+    private static final int MAX_CHUNK_BYTES = 64 * 1024;
+
+    /** Netty parses the status as any integer, so that 000 would become a status and 0200 a success. */
+    private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
+
+    private HttpMethod requestMethod = HttpMethod.GET;
+
+    /** Creates a decoder at the start of a connection. */
+    ResponseDecoder() {
+        super(MAX_STATUS_LINE_BYTES, MAX_HEADERS_BYTES, MAX_CHUNK_BYTES);
+    }
+
+    /**
+     * Sets the method of the request that the next responses answer; a response to HEAD has no body.
+     *
+     * @param method the method, not null
+     */
+    void setRequestMethod(final HttpMethod method) {
+        requestMethod = method;
+    }
+
+    @Override
+    protected HttpMessage createMessage(final String[] statusLine) {
+        if (!STATUS_CODE.matcher(statusLine[1]).matches()) {
+            throw new IllegalArgumentException("the status code is not a number from 100 to 599");
+        }
+        return super.createMessage(statusLine);
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(final HttpMessage message) {
+        return HttpMethod.HEAD.equals(requestMethod) || super.isContentAlwaysEmpty(message);
+    }
+}
--- a/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
@@ -51,6 +51,7 @@
 
     private final PeerAddress address;
     private final Channel channel;
+    private final ResponseDecoder decoder;
     private final UpstreamPool pool;
 
     private UpstreamExchange currentExchange;
@@ -69,12 +70,13 @@
      *
      * @param pool the pool that the connection belongs to, not null
      * @param address the upstream's address, not null
-     * @param channel the open channel, not null
+     * @param channel the open channel, whose pipeline has a {@link ResponseDecoder}, not null
      */
     UpstreamConnection(final UpstreamPool pool, final PeerAddress address, final Channel channel) {
         this.pool = pool;
         this.address = address;
         this.channel = channel;
+        this.decoder = channel.pipeline().get(ResponseDecoder.class);
     }
 
     /**
@@ -99,6 +101,7 @@
         skippingResponse = false;
         channel.config().setAutoRead(true);
         final ExchangeRequest request = exchange.request();
+        decoder.setRequestMethod(request.method());
         final HttpRequest message = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
         message.headers().set(request.headers());
         if (request.body().length > 0 || HttpMethod.POST.equals(request.method())) {
--- a/src/main/java/org/lacewingstep/upstream/UpstreamPool.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamPool.java
@@ -15,7 +15,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.lacewingstep.domain.PeerAddress;
 
 /**
@@ -28,10 +28,6 @@
     /** Connect timeout: many times the network delay between failure domains. */
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 300;
 
-    private static final int MAX_HEADERS_BYTES = 64 * 1024;
-    private static final int MAX_STATUS_LINE_BYTES = 16 * 1024;
-    private static final int MAX_CHUNK_BYTES = 64 * 1024;
-
     private final BufferBudget budget;
     private final Class<? extends SocketChannel> channelType;
     private final Map<PeerAddress, Deque<IdleConnection>> idleConnections = new HashMap<>();
@@ -134,9 +130,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(final Channel channel) {
-                        channel.pipeline()
-                                .addLast(
-                                        new HttpClientCodec(MAX_STATUS_LINE_BYTES, MAX_HEADERS_BYTES, MAX_CHUNK_BYTES));
+                        channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder());
                     }
                 })
                 .connect(address.host(), address.port());
--- a/src/test/java/org/lacewingstep/command/ConnectionCuttingService.java
+++ b/src/test/java/org/lacewingstep/command/ConnectionCuttingService.java
@@ -76,12 +76,20 @@
             case BEFORE_RESPONSE -> socket.setSoLinger(true, 0);
             case IN_HEADERS -> socket.getOutputStream().write("HTTP/1.1 200 OK\r\nConte".getBytes());
             case IN_RESPONSE -> respond(socket.getOutputStream(), "do", 4);
+            case AFTER_INVALID_STATUS -> respond(socket.getOutputStream(), "000 OK", "done", 4);
             default -> respond(socket.getOutputStream(), "done", 4);
         }
     }
 
     private static void respond(final OutputStream output, final String body, final int length) throws IOException {
-        final String head = "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\nConnection: close\r\n\r\n";
+        respond(output, "200 OK", body, length);
+    }
+
+    private static void respond(
+            final OutputStream output, final String statusAndHeaders, final String body, final int length)
+            throws IOException {
+        final String head =
+                "HTTP/1.1 " + statusAndHeaders + "\r\nContent-Length: " + length + "\r\nConnection: close\r\n\r\n";
         output.write((head + body).getBytes(StandardCharsets.UTF_8));
         output.flush();
     }
@@ -93,6 +101,7 @@
         BEFORE_BODY,
         IN_RESPONSE,
         IN_HEADERS,
+        AFTER_INVALID_STATUS,
         NEVER
     }
 }
--- a/src/test/java/org/lacewingstep/command/PlatformTestSite.java
+++ b/src/test/java/org/lacewingstep/command/PlatformTestSite.java
@@ -16,6 +16,7 @@
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
 
+import io.netty.handler.codec.http.HttpMethod;
 import org.lacewingstep.command.RawUpstream.Exchange;
 import org.lacewingstep.command.RawUpstream.Reply;
 import org.lacewingstep.standin.PlatformStoreStandIn;
@@ -212,12 +213,18 @@
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
-    /** Sends a call and returns all bytes up to the end of the connection. */
+    /** Sends a POST call and returns all bytes up to the end of the connection. */
     String exchangeRaw(final String route, final String... headers) throws IOException {
+        return exchangeRaw(HttpMethod.POST, route, headers);
+    }
+
+    /** Sends a call and returns all bytes up to the end of the connection. */
+    String exchangeRaw(final HttpMethod method, final String route, final String... headers) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callerPort)) {
             socket.setSoTimeout((int) TIMEOUT.toMillis());
-            final String head = "POST /" + route + "/x HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: " + nextIdentifier()
-                    + "\r\nToken-Count: 10,10\r\nDeadline-Ms: " + DEADLINE.toMillis() + "\r\nConnection: close\r\n"
+            final String head = method + " /" + route + "/x HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: "
+                    + nextIdentifier() + "\r\nToken-Count: 10,10\r\nDeadline-Ms: " + DEADLINE.toMillis()
+                    + "\r\nConnection: close\r\n"
                     + String.join("", headers) + "Content-Length: 0\r\n\r\n";
             socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
