Take no response with a blank in a field name for an answer

What callers saw: an upstream in trouble sent a head in which a field name held a space or a tab. The caller got it as an answer: with the line cut at the blank ("Na me: v" as "Na: v", "Name v" as "Name:"), with the line joined to the value before it (" Name: v"), or with the body cut at a length that was no field ("Content-Length x: 2"). Other control bytes were rejected before; the test keeps that.

Cause: in responses, Netty ends a field name at its first blank, skips what stands between the blank and the colon, and joins a line that begins with a blank to the field before it. The headers that it delivers don't show it.

Change: ResponseDecoder reads the bytes of each head that Netty consumes through FieldNameCheck, and marks a response with such a name as failed, which already ends the attempt.

--- a/src/main/java/org/lacewingstep/upstream/ResponseDecoder.java
+++ b/src/main/java/org/lacewingstep/upstream/ResponseDecoder.java
@@ -1,10 +1,17 @@
 package org.lacewingstep.upstream;
 
+import java.util.List;
 import java.util.regex.Pattern;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * Decodes the responses on one connection, and reports those that Netty accepts although they are not valid HTTP as
@@ -18,6 +25,7 @@
     /** Netty parses the status as any integer, so that 000 would become a status and 0200 a success. */
     private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
 
+    private FieldNameCheck fieldNames = new FieldNameCheck();
     private HttpMethod requestMethod = HttpMethod.GET;
 
     /** Creates a decoder at the start of a connection. */
@@ -34,10 +42,29 @@
         requestMethod = method;
     }
 
+    /** Checks the bytes that Netty has read, as it cuts a field name at its first blank. */
+    @Override
+    protected void decode(final ChannelHandlerContext context, final ByteBuf buffer, final List<Object> messages)
+            throws Exception {
+        final int start = buffer.readerIndex();
+        final int earlierMessages = messages.size();
+        super.decode(context, buffer, messages);
+        buffer.forEachByte(start, buffer.readerIndex() - start, fieldNames);
+        for (int i = earlierMessages; i < messages.size(); i++) {
+            final Object message = messages.get(i);
+            if (message instanceof HttpResponse response && fieldNames.hasFoundBlank()) {
+                response.setDecoderResult(DecoderResult.failure(new DecoderException("a field name has a blank")));
+            }
+            if (message instanceof LastHttpContent) {
+                fieldNames = new FieldNameCheck();
+            }
+        }
+    }
+
     @Override
     protected HttpMessage createMessage(final String[] statusLine) {
         if (!STATUS_CODE.matcher(statusLine[1]).matches()) {
-            throw new IllegalArgumentException("the status code is not a number from 100 to 599");
+            throw new DecoderException("the status code is not a number from 100 to 599");
         }
         return super.createMessage(statusLine);
     }
--- a/src/test/java/org/lacewingstep/command/ConnectionCuttingService.java
+++ b/src/test/java/org/lacewingstep/command/ConnectionCuttingService.java
@@ -77,6 +77,7 @@
             case IN_HEADERS -> socket.getOutputStream().write("HTTP/1.1 200 OK\r\nConte".getBytes());
             case IN_RESPONSE -> respond(socket.getOutputStream(), "do", 4);
             case AFTER_INVALID_STATUS -> respond(socket.getOutputStream(), "000 OK", "done", 4);
+            case AFTER_INVALID_FIELD_NAME -> respond(socket.getOutputStream(), "200 OK\r\nNa me: v", "done", 4);
             default -> respond(socket.getOutputStream(), "done", 4);
         }
     }
@@ -102,6 +103,7 @@
         IN_RESPONSE,
         IN_HEADERS,
         AFTER_INVALID_STATUS,
+        AFTER_INVALID_FIELD_NAME,
         NEVER
     }
 }
--- a/src/test/java/org/lacewingstep/command/InvalidResponseHeadTest.java
+++ b/src/test/java/org/lacewingstep/command/InvalidResponseHeadTest.java
@@ -3,6 +3,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.Stream;
 
 import io.netty.handler.codec.http.HttpMethod;
 import org.junit.jupiter.api.AfterAll;
@@ -50,14 +51,34 @@
 
     /** Starts of a head, after the version: the status, and fields for the first lines. */
     static List<String> invalidHeads() {
-        return List.of(
+        final List<String> statuses = List.of(
                 "000 OK", "0 OK", "1 OK", "20 OK", "99 OK", "600 OK", "999 OK", "1000 OK", "0200 OK", "+200 OK",
                 "20 0 OK");
+        final Stream<String> fields = Stream.of(
+                        "Na me: v",
+                        "Name : v",
+                        "Na\tme: v",
+                        "Name\t: v",
+                        " Name: v",
+                        "\tName: v",
+                        "Name v",
+                        "Content-Length x: 2",
+                        "Content-Length : 2",
+                        "Transfer-Encoding x: chunked",
+                        "Na\u0000me: v",
+                        "Na\u0001me: v",
+                        "Na\u000bme: v",
+                        "Na\rme: v",
+                        "Na\u001fme: v",
+                        "Na\u007fme: v",
+                        "Na\u0080me: v")
+                .map(field -> "200 OK\r\nServer: s\r\n" + field);
+        return Stream.concat(statuses.stream(), fields).toList();
     }
 
     /** Invalid heads that a lenient parser takes for those of a success. */
     static List<String> invalidHeadsOfSuccesses() {
-        return List.of("0200 OK");
+        return List.of("0200 OK", "200 OK\r\nServer: s\r\nNa me: v", "200 OK\r\nServer: s\r\n Name: v");
     }
 
     @ParameterizedTest
@@ -76,7 +97,7 @@
     @MethodSource("invalidHeads")
     void callThatMayRunAgainIsSentAgainAfterAnInvalidResponse(final String head) throws Exception {
         site.respondFromPairWith(exchange -> site.exchangesOfPair().size() == 1
-                ? Reply.keepOpen(invalid(head, exchange))
+                ? Reply.close(invalid(head, exchange))
                 : Reply.keepOpen(response(sealed(exchange.identifier()), "done")));
 
         final HttpResponse<String> response = site.send(AGAIN);
@@ -90,7 +111,7 @@
     @MethodSource("invalidHeads")
     void streamIsSentAgainAfterAnInvalidResponse(final String head) throws Exception {
         site.respondFromPairWith(exchange -> site.exchangesOfPair().size() == 1
-                ? Reply.keepOpen(withHead(head, exchange, "id: 1\ndata: broken\n\n"))
+                ? Reply.close(withHead(head, exchange, "id: 1\ndata: broken\n\n"))
                 : Reply.keepOpen(chunked(sealed(exchange.identifier()), EVENTS)));
 
         final HttpResponse<String> response = site.send(STREAM);
@@ -116,8 +137,9 @@
     void memoryFromAnInvalidResponseIsNotUsed(final String head) throws Exception {
         awaitSoundEngines();
         site.decode()
-                .respondWith(exchange ->
-                        isReservation(exchange) ? Reply.close(response(head, RESERVATION)) : decode(exchange));
+                .respondWith(exchange -> isReservation(exchange)
+                        ? Reply.close("HTTP/1.1 " + head + "\r\n\r\n" + RESERVATION)
+                        : decode(exchange));
 
         site.send(ENGINE);
 
@@ -139,7 +161,7 @@
 
     /** Waits until both engines are used again, as the router avoids engines that have failed. */
     private static void awaitSoundEngines() throws Exception {
-        site.prefill().respondWith(exchange -> Reply.keepOpen(withHead("200 OK", exchange, HANDLE)));
+        site.prefill().respondWith(exchange -> Reply.close(withHead("200 OK", exchange, HANDLE)));
         site.decode().respondWith(InvalidResponseHeadTest::decode);
         await(() -> site.send(ENGINE).body().equals(EVENTS)
                 && site.decode().exchanges().getLast().request().headers().containsKey("kv-source"));
@@ -151,7 +173,7 @@
     }
 
     private static String withHead(final String head, final Exchange exchange, final String body) {
-        return response(head + "\r\nRequest-Id: " + exchange.identifier() + "\r\nResponse-Seal: s", body);
+        return "HTTP/1.1 " + head + "\r\nRequest-Id: " + exchange.identifier() + "\r\nResponse-Seal: s\r\n\r\n" + body;
     }
 
     private static boolean isReservation(final Exchange exchange) {
