Take no response of the store without its body for an empty store

Found while checking the other places that read responses, for the field names with a blank.

What instances saw: a success of the store whose body was cut to nothing, by "Content-Length x: 0" or since the connection ended after the head, was read as a store without items at revision 0, as an empty list of changes, as the confirmation of the routing table or as the lease 0.

Cause: the client of the store read an empty body as an empty JSON object, so that refusals without a body could be read. Ratpack's client decodes heads as leniently as Netty does, and gives no access to its decoder.

Change: a success without a body is a failed call. All successes of the store have a body, and a body that is cut elsewhere is no JSON, which failed before, as did all statuses but 200.

--- a/src/main/java/org/lacewingstep/platform/PlatformStoreClient.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreClient.java
@@ -21,6 +21,7 @@
     /** Read timeout of calls other than long polls: many times the usual response time of a few milliseconds. */
     static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(800);
 
+    private static final int HTTP_OK = 200;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final PeerAddress address;
@@ -81,8 +82,13 @@
                 .map(this::decode);
     }
 
+    /** A success always has a body, so one without a body broke off, and would read as a store without items. */
     private StoreResponse decode(final ReceivedResponse response) throws Exception {
         final String text = response.getBody().getText();
+        if (response.getStatusCode() == HTTP_OK && text.isBlank()) {
+            throw new RouterException(
+                    ErrorCode.STORE_UNREACHABLE, "decode", address.toString(), "the store's response has no body");
+        }
         return new StoreResponse(
                 response.getStatusCode(), text.isBlank() ? MAPPER.createObjectNode() : MAPPER.readTree(text));
     }
--- /dev/null
+++ b/src/test/java/org/lacewingstep/platform/PlatformStoreAdapterTest.java
@@ -0,0 +1,128 @@
+package org.lacewingstep.platform;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.lacewingstep.blackboard.Event;
+import org.lacewingstep.domain.FailureDomainName;
+import org.lacewingstep.domain.Incarnation;
+import org.lacewingstep.domain.InstanceName;
+import org.lacewingstep.domain.Member;
+import org.lacewingstep.domain.PeerAddress;
+import org.lacewingstep.standin.SocketRequest;
+import org.lacewingstep.standin.SocketServer;
+import ratpack.exec.ExecController;
+import ratpack.exec.internal.DefaultExecController;
+import ratpack.http.client.HttpClient;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests over real sockets that a response of the store with an invalid head, or without its body, is a failed call. A
+ * body that is cut to nothing must not read as a store without items, nor as a confirmation.
+ */
+class PlatformStoreAdapterTest {
+    private static final String BODY =
+            """
+            {"items":[{"key":"op/evacuate/a","value":"","revision":5}],"hasMore":false,"asOf":7,"events":[],
+            "revision":9,"lease":4,"ttlMs":3000}""";
+    private static final Duration LIFETIME = Duration.ofSeconds(3);
+    private static final Member SELF = new Member(
+            new Incarnation(new InstanceName("a"), 7), new PeerAddress("127.0.0.1", 1), new FailureDomainName("z"));
+    private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final ExecController execution = new DefaultExecController(1);
+
+    private PlatformStoreAdapter adapter;
+    private HttpClient client;
+    private SocketServer server;
+
+    private volatile String response = "";
+
+    @BeforeEach
+    void start() throws Exception {
+        server = new SocketServer(this::respond);
+        client = HttpClient.of(spec -> spec.execController(execution).poolSize(0));
+        adapter = new PlatformStoreAdapter(
+                client, new PeerAddress("127.0.0.1", server.port()), Instant::now, events::add, execution);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        client.close();
+        execution.close();
+        server.close();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"000 OK", "600 OK", "1000 OK", "200 OK\r\nContent-Length x: 0", "200 OK\r\nContent-Length x: 9"})
+    void responseWithAnInvalidHeadIsAFailedCall(final String head) throws Exception {
+        assertAllCallsFail("HTTP/1.1 " + head + "\r\n\r\n" + BODY);
+    }
+
+    @Test
+    void responseWithoutItsBodyIsAFailedCall() throws Exception {
+        assertAllCallsFail("HTTP/1.1 200 OK\r\n\r\n");
+    }
+
+    @Test
+    void soundResponseWithoutLengthIsRead() throws Exception {
+        response = "HTTP/1.1 200 OK\r\n\r\n" + BODY;
+
+        adapter.readAll();
+        assertThat(nextEvent()).isInstanceOfSatisfying(Event.StoreRead.class, read -> {
+            assertThat(read.content()).hasSize(1);
+            assertThat(read.revision()).isEqualTo(7);
+        });
+        adapter.pollChanges(3, LIFETIME);
+        assertThat(nextEvent()).isInstanceOf(Event.StoreChanged.class);
+        adapter.confirmTable(3);
+        assertThat(nextEvent()).isInstanceOf(Event.TableConfirmed.class);
+        adapter.renewPresence(SELF, 0, LIFETIME);
+        assertThat(nextEvent()).isEqualTo(new Event.PresenceRenewalEnded(true, 4));
+        adapter.renewPresence(SELF, 4, LIFETIME);
+        assertThat(nextEvent()).isEqualTo(new Event.PresenceRenewalEnded(true, 4));
+    }
+
+    private void assertAllCallsFail(final String bytes) throws Exception {
+        response = bytes;
+
+        adapter.readAll();
+        assertThat(nextEvent()).isInstanceOf(Event.StoreWatchFailed.class);
+        adapter.pollChanges(3, LIFETIME);
+        assertThat(nextEvent()).isInstanceOf(Event.StoreWatchFailed.class);
+        adapter.confirmTable(3);
+        assertThat(nextEvent()).isInstanceOf(Event.TableConfirmationFailed.class);
+        adapter.renewPresence(SELF, 0, LIFETIME);
+        assertThat(nextEvent()).isEqualTo(new Event.PresenceRenewalEnded(false, 0));
+        adapter.renewPresence(SELF, 4, LIFETIME);
+        assertThat(nextEvent()).isEqualTo(new Event.PresenceRenewalEnded(false, 4));
+    }
+
+    private Event nextEvent() throws InterruptedException {
+        return events.poll(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+    }
+
+    private void respond(final Socket socket) throws IOException {
+        final BufferedReader reader =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+        if (SocketRequest.read(reader).isPresent()) {
+            socket.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
+        }
+    }
+}
