Take no response of etcd without its body for one without keys

What instances saw, with `serve`: a success of the store whose body was cut to nothing, by "Content-Length x: 0" or since the connection ended after the head, was read as no keys (no leases, no roster, no configuration), as a lost lease or as the lease 0, and a deletion as done.

Cause: Jackson reads no text as a missing node, of which all fields are missing too.

Change: a response that is no JSON object is a failed call. A body that is cut elsewhere is no JSON, which failed before, as did all statuses but 200.

--- a/src/main/java/org/lacewingstep/etcd/StoreClient.java
+++ b/src/main/java/org/lacewingstep/etcd/StoreClient.java
@@ -173,7 +173,13 @@
                     address.toString(),
                     "the store responded with status " + response.getStatusCode());
         }
-        return MAPPER.readTree(response.getBody().getText());
+        final JsonNode body = MAPPER.readTree(response.getBody().getText());
+        if (!body.isObject()) {
+            // Without its body, a response would read as a store without keys.
+            throw new RouterException(
+                    ErrorCode.STORE_UNREACHABLE, path, address.toString(), "the store's response is no JSON object");
+        }
+        return body;
     }
 
     private static String encodeKey(final String key) {
