Take no other response of the instance list for an empty list

What instances saw, with `serve`: any response of the instance list was read as a list. One with the status 000, 600 or 503, or whose body was cut to nothing, listed no instances, and an instance that is not listed counts as ended.

Cause: the status was not looked at, and a missing list of instances was read as an empty one.

Change: only a 200 with the array `instances`, as docs/upstream-protocol.md describes it, is a list; any other response is logged as a failed read.

--- a/src/main/java/org/lacewingstep/etcd/EtcdAdapter.java
+++ b/src/main/java/org/lacewingstep/etcd/EtcdAdapter.java
@@ -1,5 +1,6 @@
 package org.lacewingstep.etcd;
 
+import java.io.IOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
@@ -30,12 +31,14 @@
 import ratpack.exec.Promise;
 import ratpack.func.Action;
 import ratpack.http.client.HttpClient;
+import ratpack.http.client.ReceivedResponse;
 
 /**
  * Executes effects on the etcd store and the instance list and posts their results as events. A failed claim or roster
  * write posts an event as well; every other failure is only logged.
  */
 public final class EtcdAdapter {
+    private static final int HTTP_OK = 200;
     private static final Logger LOGGER = LoggerFactory.getLogger(EtcdAdapter.class);
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -185,15 +188,21 @@
         });
         execute(
                 "reading the instance list",
-                () -> client.get(instanceList)
-                        .map(response -> response.getBody().getText()),
-                text -> events.accept(
-                        new Event.InstanceListRead(parseInstanceList(MAPPER.readTree(text)), requestedAt)));
+                () -> client.get(instanceList).map(EtcdAdapter::parseInstanceList),
+                listed -> events.accept(new Event.InstanceListRead(listed, requestedAt)));
     }
 
-    private static Set<Incarnation> parseInstanceList(final JsonNode list) {
+    /** Parses a list; another response must not read as a list without instances. */
+    private static Set<Incarnation> parseInstanceList(final ReceivedResponse response) throws IOException {
+        if (response.getStatusCode() != HTTP_OK) {
+            throw new IOException("the instance list responded with status " + response.getStatusCode());
+        }
+        final JsonNode instances = MAPPER.readTree(response.getBody().getText()).path("instances");
+        if (!instances.isArray()) {
+            throw new IOException("the instance list's response has no instances");
+        }
         final Set<Incarnation> listed = new HashSet<>();
-        for (final JsonNode instance : list.path("instances")) {
+        for (final JsonNode instance : instances) {
             addValid(listed, () -> decodeInstance(instance));
         }
         return listed;
