--- a/src/test/java/org/lacewingstep/etcd/StoreClientTest.java
+++ b/src/test/java/org/lacewingstep/etcd/StoreClientTest.java
@@ -1,11 +1,6 @@
 package org.lacewingstep.etcd;
 
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.Socket;
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -18,8 +13,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
-import org.lacewingstep.standin.SocketRequest;
-import org.lacewingstep.standin.SocketServer;
+import org.lacewingstep.standin.FixedResponseServer;
 import ratpack.exec.ExecController;
 import ratpack.exec.Promise;
 import ratpack.exec.internal.DefaultExecController;
@@ -42,14 +36,12 @@
     private final ExecController execution = new DefaultExecController(1);
 
     private HttpClient client;
-    private SocketServer server;
+    private FixedResponseServer server;
     private StoreClient store;
 
-    private volatile String response = "";
-
     @BeforeEach
     void start() throws Exception {
-        server = new SocketServer(this::respond);
+        server = new FixedResponseServer();
         client = HttpClient.of(spec -> spec.execController(execution).poolSize(0));
         store = new StoreClient(client, URI.create("http://127.0.0.1:" + server.port()));
     }
@@ -75,7 +67,7 @@
 
     @Test
     void soundResponseWithoutLengthIsRead() throws Exception {
-        response = "HTTP/1.1 200 OK\r\n\r\n" + BODY;
+        server.setResponse("HTTP/1.1 200 OK\r\n\r\n" + BODY);
 
         final List<StoreClient.StoredValue> values = run(calling -> calling.readAll("a"));
         final boolean alive = run(calling -> calling.keepAlive(5));
@@ -87,7 +79,7 @@
     }
 
     private void assertAllCallsFail(final String bytes) {
-        response = bytes;
+        server.setResponse(bytes);
 
         final List<Function<StoreClient, Promise<?>>> calls = List.of(
                 calling -> calling.readAll("a"),
@@ -110,12 +102,4 @@
                 .then(result::complete));
         return result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
-
-    private void respond(final Socket socket) throws IOException {
-        final BufferedReader reader =
-                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
-        if (SocketRequest.read(reader).isPresent()) {
-            socket.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
-        }
-    }
 }
--- a/src/test/java/org/lacewingstep/platform/PlatformStoreAdapterTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformStoreAdapterTest.java
@@ -1,10 +1,5 @@
 package org.lacewingstep.platform;
 
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.concurrent.BlockingQueue;
@@ -22,8 +17,7 @@
 import org.lacewingstep.domain.InstanceName;
 import org.lacewingstep.domain.Member;
 import org.lacewingstep.domain.PeerAddress;
-import org.lacewingstep.standin.SocketRequest;
-import org.lacewingstep.standin.SocketServer;
+import org.lacewingstep.standin.FixedResponseServer;
 import ratpack.exec.ExecController;
 import ratpack.exec.internal.DefaultExecController;
 import ratpack.http.client.HttpClient;
@@ -49,13 +43,11 @@
 
     private PlatformStoreAdapter adapter;
     private HttpClient client;
-    private SocketServer server;
-
-    private volatile String response = "";
+    private FixedResponseServer server;
 
     @BeforeEach
     void start() throws Exception {
-        server = new SocketServer(this::respond);
+        server = new FixedResponseServer();
         client = HttpClient.of(spec -> spec.execController(execution).poolSize(0));
         adapter = new PlatformStoreAdapter(
                 client, new PeerAddress("127.0.0.1", server.port()), Instant::now, events::add, execution);
@@ -82,7 +74,7 @@
 
     @Test
     void soundResponseWithoutLengthIsRead() throws Exception {
-        response = "HTTP/1.1 200 OK\r\n\r\n" + BODY;
+        server.setResponse("HTTP/1.1 200 OK\r\n\r\n" + BODY);
 
         adapter.readAll();
         assertThat(nextEvent()).isInstanceOfSatisfying(Event.StoreRead.class, read -> {
@@ -100,7 +92,7 @@
     }
 
     private void assertAllCallsFail(final String bytes) throws Exception {
-        response = bytes;
+        server.setResponse(bytes);
 
         adapter.readAll();
         assertThat(nextEvent()).isInstanceOf(Event.StoreWatchFailed.class);
@@ -117,12 +109,4 @@
     private Event nextEvent() throws InterruptedException {
         return events.poll(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
     }
-
-    private void respond(final Socket socket) throws IOException {
-        final BufferedReader reader =
-                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
-        if (SocketRequest.read(reader).isPresent()) {
-            socket.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
-        }
-    }
 }
--- a/src/test/java/org/lacewingstep/upstream/EngineClientTest.java
+++ b/src/test/java/org/lacewingstep/upstream/EngineClientTest.java
@@ -1,18 +1,16 @@
 package org.lacewingstep.upstream;
 
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.NullNode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -28,8 +26,7 @@
 import org.lacewingstep.domain.Upstream;
 import org.lacewingstep.domain.UpstreamName;
 import org.lacewingstep.domain.UpstreamRole;
-import org.lacewingstep.standin.SocketRequest;
-import org.lacewingstep.standin.SocketServer;
+import org.lacewingstep.standin.FixedResponseServer;
 import org.lacewingstep.upstream.EngineClient.GenerationInput;
 import ratpack.exec.ExecController;
 import ratpack.exec.Promise;
@@ -49,77 +46,74 @@
     private static final Incarnation SELF = new Incarnation(new InstanceName("a"), 7);
     private static final int TIMEOUT_SECONDS = 30;
 
-    private volatile String response = "";
+    private final ExecController execution = new DefaultExecController(1);
+
+    private HttpClient client;
+    private Upstream engine;
+    private EngineClient engines;
+    private FixedResponseServer server;
+
+    @BeforeEach
+    void start() throws Exception {
+        server = new FixedResponseServer();
+        client = HttpClient.of(spec -> spec.execController(execution).poolSize(0));
+        engines = new EngineClient(client, SELF, Duration.ofSeconds(TIMEOUT_SECONDS));
+        engine = new Upstream(
+                new UpstreamName("engine"),
+                new ServiceName("service"),
+                UpstreamRole.DECODE,
+                new PeerAddress("127.0.0.1", server.port()),
+                new FailureDomainName("domain"),
+                new CellName("cell"),
+                8,
+                false);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        client.close();
+        execution.close();
+        server.close();
+    }
 
     @ParameterizedTest
     @ValueSource(strings = {"000 OK", "99 OK", "600 OK", "1000 OK"})
     void responseWithAnotherStatusIsAFailedCall(final String status) {
-        response = "HTTP/1.1 " + status + "\r\n\r\n" + BODY;
+        server.setResponse("HTTP/1.1 " + status + "\r\n\r\n" + BODY);
 
         assertFail(List.of(
-                (engines, engine) -> engines.fetchLoad(engine),
-                (engines, engine) -> engines.prefill(engine, ATTEMPT, INPUT),
-                (engines, engine) -> engines.decode(engine, ATTEMPT, INPUT, NullNode.getInstance()),
-                (engines, engine) -> engines.resume(engine, ATTEMPT, 1)));
+                () -> engines.fetchLoad(engine),
+                () -> engines.prefill(engine, ATTEMPT, INPUT),
+                () -> engines.decode(engine, ATTEMPT, INPUT, NullNode.getInstance()),
+                () -> engines.resume(engine, ATTEMPT, 1)));
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"Content-Length x: 0", "Content-Length x: 9", "Transfer-Encoding x: chunked"})
     void responseWithACutBodyIsAFailedCall(final String field) {
-        response = "HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n" + BODY;
+        server.setResponse("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n" + BODY);
 
-        assertFail(List.of(
-                (engines, engine) -> engines.fetchLoad(engine),
-                (engines, engine) -> engines.prefill(engine, ATTEMPT, INPUT)));
+        assertFail(List.of(() -> engines.fetchLoad(engine), () -> engines.prefill(engine, ATTEMPT, INPUT)));
     }
 
     @Test
     void soundResponseIsRead() throws Exception {
-        response = "HTTP/1.1 200 OK\r\n\r\n" + BODY;
+        server.setResponse("HTTP/1.1 200 OK\r\n\r\n" + BODY);
 
-        assertThat(run((engines, engine) -> engines.fetchLoad(engine))).isInstanceOf(LoadReport.class);
-        assertThat(run((engines, engine) -> engines.prefill(engine, ATTEMPT, INPUT)))
-                .isInstanceOf(JsonNode.class);
+        assertThat(run(() -> engines.fetchLoad(engine))).isInstanceOf(LoadReport.class);
+        assertThat(run(() -> engines.prefill(engine, ATTEMPT, INPUT))).isInstanceOf(JsonNode.class);
     }
 
-    private void assertFail(final List<Call> calls) {
+    private void assertFail(final List<Supplier<Promise<?>>> calls) {
         assertThat(calls)
                 .allSatisfy(call -> assertThatThrownBy(() -> run(call)).isInstanceOf(ExecutionException.class));
     }
 
-    private Object run(final Call call) throws Exception {
-        try (SocketServer server = new SocketServer(this::respond);
-                ExecController execution = new DefaultExecController(1);
-                HttpClient client =
-                        HttpClient.of(spec -> spec.execController(execution).poolSize(0))) {
-            final EngineClient engines = new EngineClient(client, SELF, Duration.ofSeconds(TIMEOUT_SECONDS));
-            final Upstream engine = new Upstream(
-                    new UpstreamName("engine"),
-                    new ServiceName("service"),
-                    UpstreamRole.DECODE,
-                    new PeerAddress("127.0.0.1", server.port()),
-                    new FailureDomainName("domain"),
-                    new CellName("cell"),
-                    8,
-                    false);
-            final CompletableFuture<Object> result = new CompletableFuture<>();
-            execution.fork().onError(result::completeExceptionally).start(started -> call.start(engines, engine)
-                    .map(Object.class::cast)
-                    .then(result::complete));
-            return result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-        }
-    }
-
-    private void respond(final Socket socket) throws IOException {
-        final BufferedReader reader =
-                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
-        if (SocketRequest.read(reader).isPresent()) {
-            socket.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
-        }
-    }
-
-    /** Starts a call to an engine. */
-    private interface Call {
-        Promise<?> start(EngineClient engines, Upstream engine);
+    private Object run(final Supplier<Promise<?>> call) throws Exception {
+        final CompletableFuture<Object> result = new CompletableFuture<>();
+        execution.fork().onError(result::completeExceptionally).start(started -> call.get()
+                .map(Object.class::cast)
+                .then(result::complete));
+        return result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 }
