Explain the end of a response whose request is being written

Cause: a newcomer's reading of the diff: setBodyWritten also completed the response. Change: the writer completes it, and the comments say what each part decides; no change of behaviour.

--- a/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
@@ -138,25 +138,25 @@
                                 false,
                                 "the request was not written: "
                                         + written.cause().getMessage());
-                    } else if (last) {
-                        setBodyWritten(true);
-                    } else {
+                    } else if (!last) {
                         writeBody(exchange, offset + length);
+                    } else {
+                        setBodyWritten(true);
+                        if (responseEnded) {
+                            complete();
+                        }
                     }
                 });
     }
 
     /**
-     * Keeps the connection open after the upstream has ended its output, as long as the request is being written.
-     * Whether the upstream still reads shows whether a response that ends with the connection is complete: if the
-     * upstream has closed with unread bytes, its kernel resets the connection, and the response may have broken off.
+     * Sets whether the request has been written. Until then, the connection stays open for writing after the upstream
+     * has ended its output: if the upstream has closed with unread bytes, its kernel resets the connection, which only
+     * a write shows, and a response that ended with the output may have broken off.
      */
     private void setBodyWritten(final boolean written) {
         bodyWritten = written;
         channel.config().setAllowHalfClosure(!written);
-        if (written && responseEnded) {
-            complete();
-        }
     }
 
     /** Closes the connection. */
@@ -319,6 +319,7 @@
             return;
         }
         if (channel.isInputShutdown() && !bodyWritten) {
+            // The end of the writing decides whether the response is complete.
             responseEnded = true;
             return;
         }
