Play resets at more moments of an upload, of failures and of prompts

Cause: EarlyResponseTest reset successes of calls and streams as soon as the head of the request was read. Change: it also resets after 1 byte to 2.5 MB of the body, failures and a refusal, and prompts read apart.

--- a/src/test/java/org/lacewingstep/command/EarlyResponseTest.java
+++ b/src/test/java/org/lacewingstep/command/EarlyResponseTest.java
@@ -12,13 +12,16 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingstep.command.RawUpstream.Exchange;
 import org.lacewingstep.command.RawUpstream.Reply;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.lacewingstep.command.PlatformTestSite.AGAIN;
+import static org.lacewingstep.command.PlatformTestSite.ENGINE;
 import static org.lacewingstep.command.PlatformTestSite.ONCE;
 import static org.lacewingstep.command.PlatformTestSite.STREAM;
+import static org.lacewingstep.command.ProcessTestSupport.await;
 import static org.lacewingstep.command.RawUpstream.chunked;
 import static org.lacewingstep.command.RawUpstream.response;
 import static org.lacewingstep.command.RawUpstream.sealed;
@@ -35,6 +38,8 @@
     /** Repetitions of each case, as the order in which a connection's events are noticed varies. */
     private static final int REPETITIONS = 10;
 
+    private static final String HANDLE = "{\"kvHandle\":\"k\",\"tokens\":10,\"version\":1}";
+    private static final String LONG_BODY = "x".repeat(3_500_000);
     private static final String EVENT_1 = "id: 1\ndata: a\n\n";
     private static final String EVENT_2 = "id: 2\ndata: b\n\n";
 
@@ -98,6 +103,54 @@
         }
     }
 
+    @ParameterizedTest
+    @EnumSource
+    void responseThatIsResetAmidItsRequestIsReportedAsMayHaveRun(final Broken broken) throws Exception {
+        for (final int bytesRead : new int[] {1, 100_000, 400_000, 2_500_000}) {
+            site.single().respondAmidBodyWith(bytesRead, exchange -> broken.reply.apply(withoutLength(exchange, "do")));
+
+            assertThat(site.send(ONCE, LONG_BODY).statusCode())
+                    .as("after %s bytes", bytesRead)
+                    .isEqualTo(502);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"500 Failed", "404 Unknown", "503 Full\r\nNot-Executed: 1"})
+    void failureThatIsResetWhileItsRequestIsWrittenIsReportedAsMayHaveRun(final String status) throws Exception {
+        for (final Broken broken : Broken.values()) {
+            site.single()
+                    .respondBeforeBodyWith(exchange -> broken.reply.apply(
+                            "HTTP/1.1 " + status + "\r\nRequest-Id: " + exchange.identifier() + "\r\n\r\nfai"));
+
+            final HttpResponse<String> response = site.send(ONCE, LONG_BODY);
+
+            assertThat(response.statusCode()).as("%s", broken).isEqualTo(502);
+            assertThat(response.body()).contains("may have run");
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void promptThatIsResetWhileItsRequestIsWrittenIsNotUsed(final Broken broken) throws Exception {
+        site.decode()
+                .respondWith(exchange -> Reply.close(
+                        exchange.request().path().startsWith("/hold-take")
+                                ? "HTTP/1.1 200 OK\r\n\r\n{\"hold\":\"h\"}"
+                                : withoutLength(exchange, EVENT_1 + EVENT_2)));
+        site.prefill().respondWith(exchange -> Reply.close(withoutLength(exchange, HANDLE)));
+        await(() -> site.send(ENGINE).statusCode() == 200 && usesPrompt());
+        site.prefill().respondBeforeBodyWith(exchange -> broken.reply.apply(withoutLength(exchange, HANDLE)));
+
+        assertThat(site.send(ENGINE, LONG_BODY).body()).isEqualTo(EVENT_1 + EVENT_2);
+        assertThat(site.prefill().exchanges()).hasSize(1);
+        assertThat(usesPrompt()).isFalse();
+    }
+
+    private static boolean usesPrompt() {
+        return site.decode().exchanges().getLast().request().headers().containsKey("kv-source");
+    }
+
     @ParameterizedTest(name = "{index}")
     @MethodSource("bodies")
     void callThatMayRunAgainIsSentAgainAfterAResponseThatIsReset(final String body) throws Exception {
--- a/src/test/java/org/lacewingstep/command/RawUpstream.java
+++ b/src/test/java/org/lacewingstep/command/RawUpstream.java
@@ -25,6 +25,7 @@
     private final SocketServer server;
 
     private volatile boolean answersBeforeBody;
+    private volatile int bytesReadOfBody;
     private volatile Function<Exchange, Reply> responder =
             exchange -> Reply.keepOpen(response(sealed(exchange.identifier()), "done"));
 
@@ -94,12 +95,19 @@
     void respondWith(final Function<Exchange, Reply> newResponder) {
         responder = newResponder;
         answersBeforeBody = false;
+        bytesReadOfBody = 0;
         exchanges.clear();
     }
 
     /** Answers as soon as the head of a request has been read; a connection that is closed then is reset. */
     void respondBeforeBodyWith(final Function<Exchange, Reply> newResponder) {
+        respondAmidBodyWith(0, newResponder);
+    }
+
+    /** Answers as soon as the head of a request and some bytes of its body have been read. */
+    void respondAmidBodyWith(final int bytes, final Function<Exchange, Reply> newResponder) {
         respondWith(newResponder);
+        bytesReadOfBody = bytes;
         answersBeforeBody = true;
     }
 
@@ -141,6 +149,9 @@
             if (request.isEmpty()) {
                 return;
             }
+            for (int i = 0; answersBeforeBody && i < bytesReadOfBody; i++) {
+                reader.read();
+            }
             number++;
             end = respond(socket, new Exchange(request.get(), connection, number));
         }
