Take no response with a blank in a field name of its trailer for an answer

What callers saw: a response in chunks whose trailer held a field name with a space or a tab reached them as a complete 200. The line itself was dropped, as all trailers are; other control bytes were rejected before.

Cause: the check of field names ended with the head, and Netty splits trailers as leniently.

Change: a trailer has the shape of a head, a line and fields behind it, so FieldNameCheck reads it too: ResponseDecoder starts the check again at each message, and asks it at a head and at the end of a body in chunks. Parts of a body are not scanned, and no object is created for a response any more.

--- a/src/main/java/org/lacewingstep/upstream/FieldNameCheck.java
+++ b/src/main/java/org/lacewingstep/upstream/FieldNameCheck.java
@@ -3,7 +3,8 @@
 import io.netty.util.ByteProcessor;
 
 /**
- * Looks for blanks in the field names of a response head, which is read byte by byte.
+ * Finds blanks in the field names of a response head, or of the trailer behind the last chunk of a body. Both are a
+ * line without a field, the status line or the size of the chunk, with the fields behind it.
  *
  * <p>A line that begins with a blank continues the field before it in an obsolete syntax that senders must not use, so
  * it counts as a field whose name has a blank.
@@ -16,12 +17,12 @@
     private static final byte TAB = '\t';
 
     private boolean blankFound;
-    private Position position = Position.BEFORE_STATUS_LINE;
+    private Position position = Position.BEFORE_FIRST_LINE;
 
-    /** The part of the head that the next byte belongs to. */
+    /** The part of the head or trailer that the next byte belongs to. */
     private enum Position {
-        BEFORE_STATUS_LINE,
-        STATUS_LINE,
+        BEFORE_FIRST_LINE,
+        FIRST_LINE,
         LINE_START,
         FIELD_NAME,
         FIELD_VALUE,
@@ -29,17 +30,17 @@
     }
 
     /**
-     * Reads the next byte of the head; bytes after the end of the head are ignored.
+     * Reads the next byte; bytes after the blank line that ends the fields are ignored.
      *
      * @param value the byte
-     * @return false if the head has ended, and no more bytes need to be read
+     * @return false if the fields have ended, and no more bytes need to be read
      */
     @Override
     public boolean process(final byte value) {
         position = switch (position) {
-            // Netty skips white space and control characters in front of a status line.
-            case BEFORE_STATUS_LINE -> value > SPACE ? Position.STATUS_LINE : Position.BEFORE_STATUS_LINE;
-            case STATUS_LINE, FIELD_VALUE -> value == LINE_FEED ? Position.LINE_START : position;
+            // Netty skips white space and control characters in front of a status line; chunks end with a line end.
+            case BEFORE_FIRST_LINE -> value > SPACE ? Position.FIRST_LINE : Position.BEFORE_FIRST_LINE;
+            case FIRST_LINE, FIELD_VALUE -> value == LINE_FEED ? Position.LINE_START : position;
             case LINE_START -> value == LINE_FEED || value == CARRIAGE_RETURN ? Position.END : readName(value);
             case FIELD_NAME -> readName(value);
             case END -> Position.END;
@@ -56,8 +57,14 @@
         };
     }
 
+    /** Starts again in front of the next head or trailer. */
+    void reset() {
+        blankFound = false;
+        position = Position.BEFORE_FIRST_LINE;
+    }
+
     /**
-     * Returns whether a field name of the head has a blank.
+     * Returns whether a field name has a blank.
      *
      * @return true if a space or a tab was read where a field name belongs
      */
--- a/src/main/java/org/lacewingstep/upstream/ResponseDecoder.java
+++ b/src/main/java/org/lacewingstep/upstream/ResponseDecoder.java
@@ -9,8 +9,10 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
@@ -25,7 +27,9 @@
     /** Netty parses the status as any integer, so that 000 would become a status and 0200 a success. */
     private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
 
-    private FieldNameCheck fieldNames = new FieldNameCheck();
+    private final FieldNameCheck fieldNames = new FieldNameCheck();
+
+    private boolean chunked;
     private HttpMethod requestMethod = HttpMethod.GET;
 
     /** Creates a decoder at the start of a connection. */
@@ -42,25 +46,36 @@
         requestMethod = method;
     }
 
-    /** Checks the bytes that Netty has read, as it cuts a field name at its first blank. */
+    /**
+     * Checks the bytes of heads and trailers that Netty has read, as it cuts a field name at its first blank. Bytes of
+     * a body are not checked: each part of it starts the check again, so that only what follows the last part counts.
+     */
     @Override
     protected void decode(final ChannelHandlerContext context, final ByteBuf buffer, final List<Object> messages)
             throws Exception {
         final int start = buffer.readerIndex();
         final int earlierMessages = messages.size();
         super.decode(context, buffer, messages);
-        buffer.forEachByte(start, buffer.readerIndex() - start, fieldNames);
+        if (messages.size() == earlierMessages || !isPartOfBody(messages.get(earlierMessages))) {
+            buffer.forEachByte(start, buffer.readerIndex() - start, fieldNames);
+        }
         for (int i = earlierMessages; i < messages.size(); i++) {
-            final Object message = messages.get(i);
-            if (message instanceof HttpResponse response && fieldNames.hasFoundBlank()) {
-                response.setDecoderResult(DecoderResult.failure(new DecoderException("a field name has a blank")));
+            final HttpObject message = (HttpObject) messages.get(i);
+            if (message instanceof HttpResponse response) {
+                chunked = HttpUtil.isTransferEncodingChunked(response);
             }
-            if (message instanceof LastHttpContent) {
-                fieldNames = new FieldNameCheck();
+            if (fieldNames.hasFoundBlank()) {
+                message.setDecoderResult(DecoderResult.failure(new DecoderException("a field name has a blank")));
             }
+            fieldNames.reset();
         }
     }
 
+    /** Returns whether a message is neither a head nor the end of a body in chunks, which may have a trailer. */
+    private boolean isPartOfBody(final Object message) {
+        return !(message instanceof HttpResponse) && !(chunked && message instanceof LastHttpContent);
+    }
+
     @Override
     protected HttpMessage createMessage(final String[] statusLine) {
         if (!STATUS_CODE.matcher(statusLine[1]).matches()) {
--- a/src/test/java/org/lacewingstep/command/EarlyResponseTest.java
+++ b/src/test/java/org/lacewingstep/command/EarlyResponseTest.java
@@ -29,7 +29,7 @@
 /**
  * Tests responses that arrive while the request is being written, over real sockets. An upstream that breaks off closes
  * its connection while bytes of the request are unread, which ends the output and resets the connection at once; a
- * sound one ends its output and reads the rest. Both look alike to a reader.
+ * sound one ends its output and reads the rest. A read reports the same end for both.
  */
 class EarlyResponseTest {
     /** Lengths of the request bodies in bytes; shorter ones may fit into the buffers of the connection. */
--- a/src/test/java/org/lacewingstep/command/InvalidResponseHeadTest.java
+++ b/src/test/java/org/lacewingstep/command/InvalidResponseHeadTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingstep.command.RawUpstream.Exchange;
 import org.lacewingstep.command.RawUpstream.Reply;
 
@@ -148,6 +149,18 @@
                 .noneMatch(exchange -> exchange.request().headers().containsKey("kv-hold"));
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"Na me: v", "Name : v", "Na\tme: v", " Name: v", "Name v", "Na\u0001me: v", "Na\u007fme: v"})
+    void responseWithAnInvalidTrailerIsReportedAsMayHaveRun(final String field) throws Exception {
+        final String chunk = "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nServer: s\r\n";
+        site.single()
+                .respondWith(exchange ->
+                        Reply.close("HTTP/1.1 " + sealed(exchange.identifier()) + "\r\n" + chunk + field + "\r\n\r\n"));
+
+        assertThat(site.send(ONCE).statusCode()).isEqualTo(502);
+    }
+
     @Test
     void responseToAHeadRequestHasNoBody() throws Exception {
         site.respondFromPairWith(exchange ->
--- a/src/test/java/org/lacewingstep/upstream/ResponseDecoderTest.java
+++ b/src/test/java/org/lacewingstep/upstream/ResponseDecoderTest.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.ReferenceCountUtil;
 import org.junit.jupiter.api.Test;
@@ -38,6 +39,21 @@
         assertThat(responses(head + "\r\ndone", 1)).containsExactly("failed");
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"Na me: v", "Name : v", "Na\tme: v", " Name: v", "Name v", "Content-Length x: 2"})
+    void invalidTrailerFails(final String field) {
+        final String body = "2;a=b c\r\n\r\n\r\n4\r\na b\n\r\n0\r\n";
+        final String bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body;
+
+        for (final int partBytes : List.of(1, 7, 30, Integer.MAX_VALUE)) {
+            assertThat(responses(bytes + "Server: s\r\n" + field + "\r\n\r\n", partBytes))
+                    .as("in parts of %s bytes", partBytes)
+                    .containsExactly("200 \r\na b\n", "failed");
+            assertThat(responses(bytes + "Server: a b\r\nName:\r\n\r\n", partBytes))
+                    .containsExactly("200 \r\na b\n");
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -78,11 +94,11 @@
         channel.finish();
         final List<String> responses = new ArrayList<>();
         for (Object message = channel.readInbound(); message != null; message = channel.readInbound()) {
+            if (((HttpObject) message).decoderResult().isFailure()) {
+                responses.add("failed");
+                return responses;
+            }
             if (message instanceof HttpResponse response) {
-                if (response.decoderResult().isFailure()) {
-                    responses.add("failed");
-                    return responses;
-                }
                 responses.add(response.status().code() + " ");
             }
             if (message instanceof HttpContent content) {
