Log the store's era, tables that are passed over and confirmations that don't match

The adapter reports the header Store-Era each time that it changes; the store section keeps the highest one. A missing, invalid or lower era is a log line and changes nothing. No other decision is changed yet.

--- a/src/main/java/org/lacewingstep/blackboard/Event.java
+++ b/src/main/java/org/lacewingstep/blackboard/Event.java
@@ -257,6 +257,14 @@
      */
     record StoreWatchFailed(boolean historyLost, String reason) implements Event {}
 
+    /**
+     * The store named its era in a response, or no longer does so.
+     *
+     * @param era the era, empty if the response names none that can be read, not null
+     * @param header the text that names the era, for the log, not null
+     */
+    record StoreEraObserved(Optional<Long> era, String header) implements Event {}
+
     /**
      * The store confirmed which routing table is the newest.
      *
--- a/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingBoard.java
@@ -9,6 +9,7 @@
 /**
  * The sections for calls that are served by the platform's registry.
  *
+ * @param store the era of the platform's store, not null
  * @param site the site policy and the registered instances, not null
  * @param routing the routing table in force, not null
  * @param registry the upstreams in the platform's registry, not null
@@ -22,6 +23,7 @@
  * @param learned what this instance has learned about upstreams, not null
  */
 public record ServingBoard(
+        StoreSection store,
         SiteSection site,
         RoutingSection routing,
         RegistrySection registry,
@@ -35,6 +37,7 @@
         LearnedBoard learned) {
     /** The initial sections of a process. */
     public static final ServingBoard INITIAL = new ServingBoard(
+            StoreSection.INITIAL,
             SiteSection.INITIAL,
             RoutingSection.INITIAL,
             RegistrySection.INITIAL,
@@ -49,6 +52,7 @@
 
     /** Checks that every section is present. */
     public ServingBoard {
+        Validate.notNull(store, "store");
         Validate.notNull(site, "site");
         Validate.notNull(routing, "routing");
         Validate.notNull(registry, "registry");
@@ -70,37 +74,130 @@
      */
     public ServingBoard with(final ServingSection section) {
         return switch (section) {
+            case StoreSection next ->
+                new ServingBoard(
+                        next,
+                        site,
+                        routing,
+                        registry,
+                        allowances,
+                        loads,
+                        calls,
+                        roles,
+                        relay,
+                        prompts,
+                        rollouts,
+                        learned);
             case SiteSection next ->
                 new ServingBoard(
-                        next, routing, registry, allowances, loads, calls, roles, relay, prompts, rollouts, learned);
+                        store,
+                        next,
+                        routing,
+                        registry,
+                        allowances,
+                        loads,
+                        calls,
+                        roles,
+                        relay,
+                        prompts,
+                        rollouts,
+                        learned);
             case RoutingSection next ->
                 new ServingBoard(
-                        site, next, registry, allowances, loads, calls, roles, relay, prompts, rollouts, learned);
+                        store,
+                        site,
+                        next,
+                        registry,
+                        allowances,
+                        loads,
+                        calls,
+                        roles,
+                        relay,
+                        prompts,
+                        rollouts,
+                        learned);
             case RegistrySection next ->
                 new ServingBoard(
-                        site, routing, next, allowances, loads, calls, roles, relay, prompts, rollouts, learned);
+                        store, site, routing, next, allowances, loads, calls, roles, relay, prompts, rollouts, learned);
             case AllowanceSection next ->
-                new ServingBoard(site, routing, registry, next, loads, calls, roles, relay, prompts, rollouts, learned);
+                new ServingBoard(
+                        store, site, routing, registry, next, loads, calls, roles, relay, prompts, rollouts, learned);
             case UpstreamLoadSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, next, calls, roles, relay, prompts, rollouts, learned);
+                        store,
+                        site,
+                        routing,
+                        registry,
+                        allowances,
+                        next,
+                        calls,
+                        roles,
+                        relay,
+                        prompts,
+                        rollouts,
+                        learned);
             case CallSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, next, roles, relay, prompts, rollouts, learned);
+                        store,
+                        site,
+                        routing,
+                        registry,
+                        allowances,
+                        loads,
+                        next,
+                        roles,
+                        relay,
+                        prompts,
+                        rollouts,
+                        learned);
             case RoleSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, calls, next, relay, prompts, rollouts, learned);
+                        store,
+                        site,
+                        routing,
+                        registry,
+                        allowances,
+                        loads,
+                        calls,
+                        next,
+                        relay,
+                        prompts,
+                        rollouts,
+                        learned);
             case RelaySection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, calls, roles, next, prompts, rollouts, learned);
+                        store,
+                        site,
+                        routing,
+                        registry,
+                        allowances,
+                        loads,
+                        calls,
+                        roles,
+                        next,
+                        prompts,
+                        rollouts,
+                        learned);
             case PromptSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, calls, roles, relay, next, rollouts, learned);
+                        store,
+                        site,
+                        routing,
+                        registry,
+                        allowances,
+                        loads,
+                        calls,
+                        roles,
+                        relay,
+                        next,
+                        rollouts,
+                        learned);
             case RolloutSection next ->
                 new ServingBoard(
-                        site, routing, registry, allowances, loads, calls, roles, relay, prompts, next, learned);
+                        store, site, routing, registry, allowances, loads, calls, roles, relay, prompts, next, learned);
             case LearnedSection next ->
                 new ServingBoard(
+                        store,
                         site,
                         routing,
                         registry,
--- a/src/main/java/org/lacewingstep/blackboard/ServingSection.java
+++ b/src/main/java/org/lacewingstep/blackboard/ServingSection.java
@@ -12,4 +12,5 @@
                 RolloutSection,
                 RoutingSection,
                 SiteSection,
+                StoreSection,
                 UpstreamLoadSection {}
--- a/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
+++ b/src/main/java/org/lacewingstep/controller/BlackboardStepper.java
@@ -27,6 +27,7 @@
             new CellController(),
             new TokenRequestController(),
             new RequestController(),
+            new StoreController(),
             new SiteController(),
             new RoutingController(),
             new RegistryController(),
--- a/src/main/java/org/lacewingstep/controller/Controller.java
+++ b/src/main/java/org/lacewingstep/controller/Controller.java
@@ -29,6 +29,7 @@
                 RoutingController,
                 SiteController,
                 SpeedController,
+                StoreController,
                 TeamBudgetController,
                 TokenRequestController,
                 UpstreamController,
--- a/src/main/java/org/lacewingstep/controller/RoutingController.java
+++ b/src/main/java/org/lacewingstep/controller/RoutingController.java
@@ -107,7 +107,16 @@
         final OutcomeBuilder builder = new OutcomeBuilder();
         final RoutingSection adopted =
                 newer.map(table -> adopt(routing, table, revision, builder)).orElse(routing);
-        return builder.outcome(adopted.revision() == revision ? withConfirmation(adopted, requestedAt) : adopted);
+        if (adopted.revision() == revision) {
+            return builder.outcome(withConfirmation(adopted, requestedAt));
+        }
+        builder.add(new Effect.Log(Decision.of(
+                "routing_proof",
+                "not matched",
+                Input.of("revision", revision),
+                Input.of("known_revision", adopted.revision()),
+                Input.of("version", adopted.table().version()))));
+        return builder.outcome(adopted);
     }
 
     private static Outcome<RoutingSection> applySnapshot(
@@ -157,6 +166,15 @@
     private static RoutingSection adopt(
             final RoutingSection routing, final RoutingTable table, final long revision, final OutcomeBuilder builder) {
         if (revision <= routing.revision()) {
+            if (table.version() != routing.table().version()) {
+                builder.add(new Effect.Log(Decision.of(
+                        "routing",
+                        "passed over",
+                        Input.of("version", table.version()),
+                        Input.of("revision", revision),
+                        Input.of("known_version", routing.table().version()),
+                        Input.of("known_revision", routing.revision()))));
+            }
             return routing;
         }
         builder.add(new Effect.Log(Decision.of(
--- a/src/main/java/org/lacewingstep/platform/PlatformStoreAdapter.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreAdapter.java
@@ -52,7 +52,7 @@
             final Supplier<Instant> clock,
             final Consumer<Event> events,
             final ExecController execution) {
-        this.store = new PlatformStoreClient(httpClient, address);
+        this.store = new PlatformStoreClient(httpClient, address, events);
         this.clock = clock;
         this.events = events;
         this.execution = execution;
--- a/src/main/java/org/lacewingstep/platform/PlatformStoreClient.java
+++ b/src/main/java/org/lacewingstep/platform/PlatformStoreClient.java
@@ -4,10 +4,15 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.lacewingstep.blackboard.Event;
 import org.lacewingstep.domain.PeerAddress;
 import org.lacewingstep.error.ErrorCode;
 import org.lacewingstep.error.RouterException;
@@ -21,21 +26,30 @@
     /** Read timeout of calls other than long polls: many times the usual response time of a few milliseconds. */
     static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(800);
 
+    private static final String ERA_HEADER = "Store-Era";
+
+    /** Decimal digits of an era that can be part of a a revision. */
+    private static final Pattern ERA = Pattern.compile("[0-9]{1,4}");
+
     private static final int HTTP_OK = 200;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final PeerAddress address;
+    private final Consumer<Event> events;
     private final HttpClient httpClient;
+    private final AtomicReference<String> lastEraHeader = new AtomicReference<>("");
 
     /**
      * Creates a client.
      *
      * @param httpClient the HTTP client, not null
      * @param address the store's address, not null
+     * @param events receives the era each time that the store names another one, not null
      */
-    PlatformStoreClient(final HttpClient httpClient, final PeerAddress address) {
+    PlatformStoreClient(final HttpClient httpClient, final PeerAddress address, final Consumer<Event> events) {
         this.httpClient = httpClient;
         this.address = address;
+        this.events = events;
     }
 
     /**
@@ -82,8 +96,19 @@
                 .map(this::decode);
     }
 
+    /** Reports the era before the content of the response is, so that the content is judged by its own era. */
+    private void observeEra(final ReceivedResponse response) {
+        final String header =
+                Optional.ofNullable(response.getHeaders().get(ERA_HEADER)).orElse("");
+        final Optional<Long> era = ERA.matcher(header).matches() ? Optional.of(Long.valueOf(header)) : Optional.empty();
+        if (!lastEraHeader.getAndSet(header).equals(header)) {
+            events.accept(new Event.StoreEraObserved(era, header));
+        }
+    }
+
     /** A success always has a body, so one without a body broke off, and would read as a store without items. */
     private StoreResponse decode(final ReceivedResponse response) throws Exception {
+        observeEra(response);
         final String text = response.getBody().getText();
         if (response.getStatusCode() == HTTP_OK && text.isBlank()) {
             throw new RouterException(
--- a/src/test/java/org/lacewingstep/platform/PlatformStoreAdapterTest.java
+++ b/src/test/java/org/lacewingstep/platform/PlatformStoreAdapterTest.java
@@ -2,6 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -91,6 +94,35 @@
         assertThat(nextEvent()).isEqualTo(new Event.PresenceRenewalEnded(true, 4));
     }
 
+    @Test
+    void eraIsReportedBeforeTheContentEachTimeThatTheHeaderChanges() throws Exception {
+        assertThat(eventsAfterResponseWith("Store-Era: 7\r\n")).containsExactly(observed(7L, "7"));
+        assertThat(eventsAfterResponseWith("store-era: 7\r\n")).isEmpty();
+        assertThat(eventsAfterResponseWith("Store-Era: 8\r\n")).containsExactly(observed(8L, "8"));
+        assertThat(eventsAfterResponseWith("Store-Era: x\r\n")).containsExactly(observed(null, "x"));
+        assertThat(eventsAfterResponseWith("Store-Era: -1\r\n")).containsExactly(observed(null, "-1"));
+        assertThat(eventsAfterResponseWith("Store-Era: 99999\r\n")).containsExactly(observed(null, "99999"));
+        assertThat(eventsAfterResponseWith("")).containsExactly(observed(null, ""));
+        assertThat(eventsAfterResponseWith("Store-Era: 8\r\n")).containsExactly(observed(8L, "8"));
+    }
+
+    private static Event observed(final Long era, final String header) {
+        return new Event.StoreEraObserved(Optional.ofNullable(era), header);
+    }
+
+    /** Returns the events that precede the content of a response. */
+    private List<Event> eventsAfterResponseWith(final String header) throws Exception {
+        server.setResponse("HTTP/1.1 200 OK\r\n" + header + "\r\n" + BODY);
+        adapter.readAll();
+        final List<Event> preceding = new ArrayList<>();
+        Event next = nextEvent();
+        while (!(next instanceof Event.StoreRead)) {
+            preceding.add(next);
+            next = nextEvent();
+        }
+        return preceding;
+    }
+
     private void assertAllCallsFail(final String bytes) throws Exception {
         server.setResponse(bytes);
 
