Show that keys are refused or stay alive after the store came back from a copy

The stand-in of the store learns to come back from a copy: what was written since is gone, leases too, revisions are given out again, and the header Store-Era rises.

--- a/src/standin/java/org/lacewingstep/standin/PlatformStoreStandIn.java
+++ b/src/standin/java/org/lacewingstep/standin/PlatformStoreStandIn.java
@@ -6,8 +6,10 @@
 import java.net.InetSocketAddress;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Executors;
@@ -20,13 +22,14 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 
-/** Simulates the store of the platform: items, watches, transactions, and leases that never expire. */
+/** Simulates the store of the platform: items, watches, transactions, copies, and leases that never expire. */
 public final class PlatformStoreStandIn implements AutoCloseable {
     private static final int GONE = 410;
     private static final int NOT_FOUND = 404;
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int OK = 200;
     private static final int PRECONDITION_FAILED = 412;
+    private static final String RENEWAL_PREFIX = "/kv-keep/";
     private static final int UNAVAILABLE = 503;
 
     private final ArrayNode history = MAPPER.createArrayNode();
@@ -35,6 +38,7 @@
     private final AtomicInteger calls = new AtomicInteger();
 
     private long earliestWatchRevision;
+    private volatile String era = "1";
     private volatile Fault fault = Fault.NONE;
     private long lastLeaseIdentifier = 100;
     private long revision = 1;
@@ -47,6 +51,28 @@
         LOSES_RESPONSES
     }
 
+    /**
+     * The content of the store at one moment.
+     *
+     * @param items the items by key, not null
+     * @param history the changes that watchers may still ask for, not null
+     * @param earliestWatchRevision the lowest revision that watchers may ask for
+     * @param revision the revision of the store
+     * @param lastLeaseIdentifier the identifier of the last lease that was granted
+     */
+    public record Copy(
+            Map<String, ObjectNode> items,
+            List<JsonNode> history,
+            long earliestWatchRevision,
+            long revision,
+            long lastLeaseIdentifier) {
+        /** Copies the collections. */
+        public Copy {
+            items = Map.copyOf(items);
+            history = List.copyOf(history);
+        }
+    }
+
     /**
      * Starts the store on a free port.
      *
@@ -85,6 +111,45 @@
         notifyAll();
     }
 
+    /**
+     * Copies the content of the store.
+     *
+     * @return the copy, never null
+     */
+    public synchronized Copy copy() {
+        final List<JsonNode> changes = new ArrayList<>();
+        history.forEach(changes::add);
+        return new Copy(items, changes, earliestWatchRevision, revision, lastLeaseIdentifier);
+    }
+
+    /**
+     * Replaces the content with that of a copy and names the next era. What was written after the copy is gone, and
+     * its revisions are given out again.
+     *
+     * @param copy the copy, not null
+     */
+    public synchronized void restore(final Copy copy) {
+        items.clear();
+        items.putAll(copy.items());
+        history.removeAll();
+        history.addAll(copy.history());
+        earliestWatchRevision = copy.earliestWatchRevision();
+        revision = copy.revision();
+        lastLeaseIdentifier = copy.lastLeaseIdentifier();
+        era = Long.toString(Long.parseLong(era) + 1);
+        notifyAll();
+    }
+
+    /**
+     * Returns the revision of an item.
+     *
+     * @param key the key of the item, not null
+     * @return the revision, zero if there is no item
+     */
+    public synchronized long revisionOf(final String key) {
+        return items.containsKey(key) ? items.get(key).path("revision").asLong() : 0;
+    }
+
     /** Discards the history, so that watchers must read all items again. */
     public synchronized void dropHistory() {
         earliestWatchRevision = revision + 1;
@@ -167,10 +232,15 @@
             case "/kv-watch" -> watch(exchange, query);
             case "/kv-txn" -> transact(exchange, MAPPER.readTree(body));
             case "/kv-lease" -> respond(exchange, OK, grantLease());
-            default -> respond(exchange, OK, MAPPER.createObjectNode());
+            default -> respond(exchange, isLostLease(path) ? NOT_FOUND : OK, MAPPER.createObjectNode());
         }
     }
 
+    private synchronized boolean isLostLease(final String path) {
+        return path.startsWith(RENEWAL_PREFIX)
+                && Long.parseLong(path.substring(RENEWAL_PREFIX.length())) > lastLeaseIdentifier;
+    }
+
     private synchronized void readItem(final HttpExchange exchange, final String key) throws IOException {
         final ObjectNode item = items.get(key);
         respond(exchange, item == null ? NOT_FOUND : OK, item == null ? MAPPER.createObjectNode() : item);
@@ -196,7 +266,7 @@
             if (revision == after) {
                 awaitChange(Long.parseLong(query.get("waitMs")));
             }
-            if (after < earliestWatchRevision) {
+            if (after < earliestWatchRevision || after > revision) {
                 events.removeAll();
                 response.put("gone", true);
             }
@@ -250,6 +320,7 @@
             return;
         }
         final byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+        exchange.getResponseHeaders().set("Store-Era", era);
         exchange.sendResponseHeaders(status, bytes.length);
         try (OutputStream output = exchange.getResponseBody()) {
             output.write(bytes);
