--- a/src/main/java/org/lacewingstep/controller/SentCallLog.java
+++ b/src/main/java/org/lacewingstep/controller/SentCallLog.java
@@ -42,6 +42,7 @@
                 Input.of(
                         "prefill_upstream",
                         prefill.map(chosen -> chosen.name().value()).orElse("none")),
+                Input.of("prefill_limited", prefill.isPresent() ? 0 : UpstreamChoice.countLimited(board, call, now)),
                 Input.of("attempt", attempt),
                 Input.of("team", call.team().map(Object::toString).orElse("none")),
                 Input.of("urgency", call.urgency().rank()),
--- a/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
+++ b/src/main/java/org/lacewingstep/controller/UpstreamChoice.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.lacewingstep.blackboard.Blackboard;
 import org.lacewingstep.blackboard.CallSection.Call;
@@ -110,6 +111,23 @@
                 && UpstreamAvailability.isWithinAnnouncedLimit(board, upstream, now);
     }
 
+    /**
+     * Counts the prefill engines that a call cannot use for the rate that they may bear alone.
+     *
+     * @param board the blackboard, not null
+     * @param call the call, not null
+     * @param now the present time, not null
+     * @return the number of engines among those that are examined for a call
+     */
+    static long countLimited(final Blackboard board, final Call call, final Instant now) {
+        final UpstreamDraw draw = draw(board, call, Set.of(UpstreamRole.PREFILL), now);
+        return IntStream.range(0, draw.size())
+                .mapToObj(i -> board.serving().registry().upstreams().get(draw.get(i)))
+                .filter(entry -> isAvailable(board, call, entry, now)
+                        && !UpstreamRoom.isWithinColdStartLimit(board, entry.upstream(), draw.alternatives(), now))
+                .count();
+    }
+
     private static boolean isAvailable(final Blackboard board, final Call call, final Entry entry, final Instant now) {
         final RegisteredUpstream upstream = entry.upstream();
         return UpstreamAvailability.acceptsRequests(board, entry, now)
