--- a/src/main/java/org/lacewingstep/domain/StoreRevision.java
+++ b/src/main/java/org/lacewingstep/domain/StoreRevision.java
@@ -23,8 +23,8 @@
 
     /** Checks the ranges. */
     public StoreRevision {
-        Validate.isTrue(era >= 0 && era <= MAX_ERA, "era", "must be between 0 and " + MAX_ERA);
-        Validate.isTrue(number >= 0 && number <= MAX_NUMBER, "number", "must be between 0 and " + MAX_NUMBER);
+        Validate.isTrue(era >= 0 && era <= MAX_ERA, "era", "between 0 and " + MAX_ERA);
+        Validate.isTrue(number >= 0 && number <= MAX_NUMBER, "number", "between 0 and " + MAX_NUMBER);
     }
 
     /**
@@ -42,7 +42,7 @@
      *
      * @param value the result of {@link #toLong()}
      * @return the revision, never null
-     * @throws IllegalArgumentException if the number does not stand for a revision
+     * @throws org.lacewingstep.error.RouterException if the number does not stand for a revision
      */
     public static StoreRevision fromLong(final long value) {
         return new StoreRevision(value >> NUMBER_BITS, value & MAX_NUMBER);
--- a/src/test/java/org/lacewingstep/controller/RoleControllerTest.java
+++ b/src/test/java/org/lacewingstep/controller/RoleControllerTest.java
@@ -126,7 +126,7 @@
         site.advanceClock(Duration.ofSeconds(10));
         sampleWhileTheMemoryIsFull(OTHER);
         assertThat(plans()).singleElement().satisfies(write -> assertThat(write.expectedRevision())
-                .isEqualTo(PLAN_REVISION));
+                .isEqualTo(new StoreRevision(0, PLAN_REVISION)));
     }
 
     @Test
--- a/src/test/java/org/lacewingstep/domain/StoreRevisionTest.java
+++ b/src/test/java/org/lacewingstep/domain/StoreRevisionTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.lacewingstep.error.RouterException;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -36,9 +37,9 @@
 
     @Test
     void valuesOutOfRangeAreRejected() {
-        assertThatThrownBy(() -> new StoreRevision(-1, 0)).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> new StoreRevision(-1, 0)).isInstanceOf(RouterException.class);
         assertThatThrownBy(() -> new StoreRevision(0, StoreRevision.MAX_NUMBER + 1))
-                .isInstanceOf(IllegalArgumentException.class);
-        assertThatThrownBy(() -> StoreRevision.fromLong(-1)).isInstanceOf(IllegalArgumentException.class);
+                .isInstanceOf(RouterException.class);
+        assertThatThrownBy(() -> StoreRevision.fromLong(-1)).isInstanceOf(RouterException.class);
     }
 }
