Probe a connection that ended a response without a length for a reset

A caller got a part of a response as a complete 200: an upstream answers before it has read the request, ends its output and closes with unread bytes. A request of up to some 300 KB is in the kernels' buffers whole by then, so no write was left that would have shown the reset, and reads report a plain end.

The connection stays open for writing until the response is complete. 5 ms after the end of the output an empty line is written, which a server may ignore before a request; if that fails, the attempt breaks off. The computation of the idle limit has a class of its own.

EarlyResponseTest plays bodies of 20, 100 and 300 KB too.

--- a/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
+++ b/src/main/java/org/lacewingstep/upstream/UpstreamConnection.java
@@ -1,7 +1,9 @@
 package org.lacewingstep.upstream;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
@@ -32,12 +34,6 @@
  * <p>Skips a response that does not belong to the current request, and is not reused after such a response.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
-    /** Idle limit of a connection whose upstream sends no Keep-Alive timeout. */
-    private static final Duration DEFAULT_IDLE_LIMIT = Duration.ofSeconds(2);
-
-    /** Subtracted from the upstream's Keep-Alive timeout, so that a request arrives before the upstream closes. */
-    private static final Duration IDLE_MARGIN = Duration.ofMillis(700);
-
     /** Responses in an exchange that are skipped, because they are informational or belong to another request. */
     private static final int MAX_SKIPPED_RESPONSES = 16;
 
@@ -47,6 +43,9 @@
     /** Bytes of a request's body that are written at once. */
     private static final int BODY_SLICE_BYTES = 64 * 1024;
 
+    /** Time in which the reset follows the end of the output of an upstream that has closed with unread bytes. */
+    private static final Duration RESET_DELAY = Duration.ofMillis(5);
+
     private static final Logger LOGGER = LoggerFactory.getLogger(UpstreamConnection.class);
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
 
@@ -58,7 +57,7 @@
     private UpstreamExchange currentExchange;
     private boolean bodyWritten;
     private boolean headReceived;
-    private Duration idleLimit = DEFAULT_IDLE_LIMIT;
+    private Duration idleLimit = IdleLimit.DEFAULT;
     private boolean reset;
     private boolean responseEnded;
     private boolean reusable = true;
@@ -111,7 +110,8 @@
             HttpUtil.setContentLength(message, request.body().length);
         }
         reusable = reusable && HttpUtil.isKeepAlive(message);
-        setBodyWritten(false);
+        bodyWritten = false;
+        channel.config().setAllowHalfClosure(true);
         exchange.attach(this);
         if (!channel.isActive()) {
             currentExchange = null;
@@ -141,24 +141,14 @@
                     } else if (!last) {
                         writeBody(exchange, offset + length);
                     } else {
-                        setBodyWritten(true);
+                        bodyWritten = true;
                         if (responseEnded) {
-                            complete();
+                            confirmEnd();
                         }
                     }
                 });
     }
 
-    /**
-     * Sets whether the request has been written. Until then, the connection stays open for writing after the upstream
-     * has ended its output: if the upstream has closed with unread bytes, its kernel resets the connection, which only
-     * a write shows, and a response that ended with the output may have broken off.
-     */
-    private void setBodyWritten(final boolean written) {
-        bodyWritten = written;
-        channel.config().setAllowHalfClosure(!written);
-    }
-
     /** Closes the connection. */
     void close() {
         channel.close();
@@ -251,7 +241,7 @@
             skippingResponse = false;
             headReceived = true;
             reusable = reusable && HttpUtil.isKeepAlive(response) && isFramed(response);
-            idleLimit = idleLimit(response.headers().get("Keep-Alive"));
+            idleLimit = IdleLimit.of(response.headers().get("Keep-Alive"));
             currentExchange.report(new ExchangeEvent.Head(response));
         }
     }
@@ -318,11 +308,40 @@
             fail(false, "the connection was reset");
             return;
         }
-        if (channel.isInputShutdown() && !bodyWritten) {
-            // The end of the writing decides whether the response is complete.
+        if (channel.isInputShutdown()) {
             responseEnded = true;
+            if (bodyWritten) {
+                confirmEnd();
+            }
             return;
         }
+        end();
+    }
+
+    /**
+     * Completes a response that ended with the upstream's output, after the request has been written. If the upstream
+     * has closed with unread bytes, its kernel resets the connection, which only a write shows, and the response may
+     * have broken off. A server may ignore an empty line before a request (RFC 9112, 2.2).
+     */
+    private void confirmEnd() {
+        channel.eventLoop().schedule(this::probeEnd, RESET_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void probeEnd() {
+        channel.pipeline()
+                .firstContext()
+                .writeAndFlush(Unpooled.copiedBuffer("\r\n", StandardCharsets.US_ASCII))
+                .addListener(written -> {
+                    if (written.isSuccess()) {
+                        end();
+                    } else {
+                        fail(false, "the connection was reset");
+                    }
+                });
+    }
+
+    /** Reports that the response is complete and keeps the connection if it can be used again. */
+    private void end() {
         final UpstreamExchange exchange = currentExchange;
         currentExchange = null;
         if (exchange == null) {
@@ -331,6 +350,7 @@
         }
         if (reusable && bodyWritten && !exchange.hasEnded() && channel.isActive()) {
             channel.config().setAutoRead(true);
+            channel.config().setAllowHalfClosure(false);
             pool.release(this);
         } else {
             channel.close();
@@ -367,19 +387,4 @@
     private static boolean isFramed(final HttpResponse response) {
         return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
     }
-
-    /** Computes the idle limit from a Keep-Alive header such as {@code timeout=5}, in seconds. */
-    private static Duration idleLimit(final String header) {
-        if (header == null) {
-            return DEFAULT_IDLE_LIMIT;
-        }
-        for (final String part : header.split(",")) {
-            final String text = part.trim();
-            if (text.matches("timeout=\\d{1,6}")) {
-                final Duration stated = Duration.ofSeconds(Long.parseLong(text.substring("timeout=".length())));
-                return stated.minus(IDLE_MARGIN);
-            }
-        }
-        return DEFAULT_IDLE_LIMIT;
-    }
 }
--- a/src/test/java/org/lacewingstep/command/EarlyResponseTest.java
+++ b/src/test/java/org/lacewingstep/command/EarlyResponseTest.java
@@ -32,8 +32,9 @@
  * sound one ends its output and reads the rest. A read reports the same end for both.
  */
 class EarlyResponseTest {
-    /** Lengths of the request bodies in bytes; shorter ones may fit into the buffers of the connection. */
-    private static final String BODY_BYTES = System.getProperty("early.body.bytes", "1000000,2000000,3500000");
+    /** Lengths of the request bodies in bytes; the shorter ones fit into the buffers of the connection. */
+    private static final String BODY_BYTES =
+            System.getProperty("early.body.bytes", "20000,100000,300000,1000000,2000000,3500000");
 
     /** Repetitions of each case, as the order in which a connection's events are noticed varies. */
     private static final int REPETITIONS = 10;
