Reject responses of another version or transfer coding

Netty takes any text for the version and any bytes for the reason, and reads an unknown transfer coding up to the end of the connection.

The decoder takes HTTP/1 with any minor digit, reasons without control bytes and chunked as the only transfer coding. ResponseDecoderTest: 7 of 8 new heads passed before, none after; HTTP/1.0, HTTP/1.2 and other reasons still pass.

--- a/src/main/java/org/lacewingstep/upstream/ResponseDecoder.java
+++ b/src/main/java/org/lacewingstep/upstream/ResponseDecoder.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -27,6 +29,12 @@
     /** Netty parses the status as any integer, so that 000 would become a status and 0200 a success. */
     private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
 
+    /** The versions that have the syntax of HTTP/1.1; Netty takes any text before the status for a version. */
+    private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[0-9]");
+
+    /** A reason phrase has no control characters other than tabs. */
+    private static final Pattern REASON = Pattern.compile("[\\t\\x20-\\x7e\\x80-\\xff]*");
+
     private final FieldNameCheck fieldNames = new FieldNameCheck();
 
     private boolean chunked;
@@ -63,6 +71,7 @@
             final HttpObject message = (HttpObject) messages.get(i);
             if (message instanceof HttpResponse response) {
                 chunked = HttpUtil.isTransferEncodingChunked(response);
+                checkTransferEncoding(response);
             }
             if (fieldNames.hasFoundBlank()) {
                 message.setDecoderResult(DecoderResult.failure(new DecoderException("a field name has a blank")));
@@ -71,6 +80,15 @@
         }
     }
 
+    /** Fails a response with a transfer coding that was not asked for, as its body is not the body of the answer. */
+    private static void checkTransferEncoding(final HttpResponse response) {
+        final boolean encoded = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
+                .anyMatch(value -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(value.trim()));
+        if (encoded && response.decoderResult().isSuccess()) {
+            response.setDecoderResult(DecoderResult.failure(new DecoderException("unknown transfer coding")));
+        }
+    }
+
     /** Returns whether a message is neither a head nor the end of a body in chunks, which may have a trailer. */
     private boolean isPartOfBody(final Object message) {
         return !(message instanceof HttpResponse) && !(chunked && message instanceof LastHttpContent);
@@ -81,6 +99,10 @@
         if (!STATUS_CODE.matcher(statusLine[1]).matches()) {
             throw new DecoderException("the status code is not a number from 100 to 599");
         }
+        if (!VERSION.matcher(statusLine[0]).matches()
+                || !REASON.matcher(statusLine[2]).matches()) {
+            throw new DecoderException("the status line is not one of HTTP/1");
+        }
         return super.createMessage(statusLine);
     }
 
--- a/src/test/java/org/lacewingstep/upstream/ResponseDecoderTest.java
+++ b/src/test/java/org/lacewingstep/upstream/ResponseDecoderTest.java
@@ -32,7 +32,15 @@
                 "HTTP/1.1 200 OK\r\n" + FIELDS + "Name\r\n",
                 "HTTP/1.1 200 OK\r\n" + FIELDS + "Name v\r\n",
                 "HTTP/1.1 200 OK\r\nServer: s\r\n Name: v\r\nContent-Length: 4\r\n",
-                "\r\nHTTP/1.1 200 OK\r\nServer: s\r\nContent-Length x: 2\r\n"
+                "\r\nHTTP/1.1 200 OK\r\nServer: s\r\nContent-Length x: 2\r\n",
+                "HTTP/0.9 200 OK\r\n" + FIELDS,
+                "HTTP/2.0 200 OK\r\n" + FIELDS,
+                "HTTP/11.1 200 OK\r\n" + FIELDS,
+                "http/1.1 200 OK\r\n" + FIELDS,
+                "HTTP/1.1 200 O\u0000K\r\n" + FIELDS,
+                "HTTP/1.1 200 O\u0007K\r\n" + FIELDS,
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n"
             })
     void invalidHeadFails(final String head) {
         assertThat(responses(head + "\r\ndone", Integer.MAX_VALUE)).containsExactly("failed");
@@ -59,6 +67,8 @@
             strings = {
                 "HTTP/1.1 200 OK\r\n" + FIELDS,
                 "HTTP/1.1 200\r\n" + FIELDS,
+                "HTTP/1.0 200 OK\r\n" + FIELDS,
+                "HTTP/1.2 200 O\tK \u00e9\r\n" + FIELDS,
                 "HTTP/1.1 200 Quite OK\r\nName:v\r\nName: a b: c\tt \r\nName:\r\n" + FIELDS,
                 "\r\n\r\nHTTP/1.1 200 OK\r\n" + FIELDS
             })
