--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -193,6 +193,7 @@
   22: optional list<WireAnswerCounts> answers
 }
 
+// Revisions of the platform's store hold its era above the number, see StoreRevision.
 struct WireStoreQuery {
   1: i64 number
   2: i64 revision
